feat(workspace): serve a call from end to end through separate processes

Platform and upstream stand-ins, one node per upstream, the operators' command and a caller run as separate processes on loopback addresses. Versions and membership travel by the polling baseline behind the Strategy border.

Before: nothing ran. Conclusion: the borders hold; every part is still thin.

--- /dev/null
+++ b/crates/lentilshunt-core/src/config/acceptance.rs
@@ -0,0 +1,90 @@
+//! Accepts a version by one transaction.
+
+use lentilshunt_schema::platform::{Condition, Expectation, Row, Transaction, Write};
+
+use super::Head;
+use crate::id::{Digest, OperationId, VersionId};
+
+/// One operator's attempt to accept a configuration.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Acceptance {
+    /// Id of the attempt; it tells an own lost write from another operator's.
+    pub operation: OperationId,
+    /// Version that the change was based on; 0 for the first.
+    pub base: VersionId,
+    /// Hash of the manifest to be accepted.
+    pub digest: Digest,
+}
+
+/// What a read of the head row says of an acceptance.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// The head is the base; this transaction accepts the next version.
+    Transact(Transaction),
+    /// The head is another version, accepted by someone else.
+    Conflict(Head),
+    /// The head is this acceptance already.
+    Accepted(Head),
+}
+
+impl Acceptance {
+    /// Decides the next step from the head row as it was read.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the row does not hold a head.
+    pub fn step(&self, row: Option<&Row>) -> Result<Step, super::Error> {
+        let head = match row {
+            Some(row) => Head::decode(&row.value)?,
+            None => Head::default(),
+        };
+        if head.operation == self.operation {
+            return Ok(Step::Accepted(head));
+        }
+        if head.version != self.base {
+            return Ok(Step::Conflict(head));
+        }
+        let expectation = row.map_or(Expectation::Absent, |row| {
+            Expectation::Revision(row.revision)
+        });
+        Ok(Step::Transact(self.transaction(expectation)))
+    }
+
+    /// Returns the head that this acceptance makes.
+    #[must_use]
+    pub fn head(&self) -> Head {
+        Head {
+            version: self.base + 1,
+            digest: self.digest.clone(),
+            operation: self.operation.clone(),
+        }
+    }
+
+    fn transaction(&self, expectation: Expectation) -> Transaction {
+        let head = self.head();
+        let history = Head::history_key(head.version);
+        let value = head.encode();
+        Transaction {
+            conditions: vec![
+                Condition {
+                    key: Head::KEY.to_owned(),
+                    expectation,
+                },
+                Condition {
+                    key: history.clone(),
+                    expectation: Expectation::Absent,
+                },
+            ],
+            writes: vec![
+                Write {
+                    key: Head::KEY.to_owned(),
+                    value: Some(value.clone()),
+                },
+                Write {
+                    key: history,
+                    value: Some(value),
+                },
+            ],
+        }
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-core/src/config/head.rs
@@ -0,0 +1,48 @@
+//! The version in force, as the platform's table holds it.
+
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+
+use super::{EncodingSnafu, Error};
+use crate::id::{Digest, OperationId, VersionId};
+
+/// Number and content hash of an accepted version.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Head {
+    /// Number of the version.
+    pub version: VersionId,
+    /// Hash of the manifest.
+    pub digest: Digest,
+    /// Operation that accepted the version.
+    pub operation: OperationId,
+}
+
+impl Head {
+    /// Key of the row that holds the newest head.
+    pub const KEY: &'static str = "head";
+
+    /// Returns the key of the history row of a version.
+    #[must_use]
+    pub fn history_key(version: VersionId) -> String {
+        format!("history/{version:020}")
+    }
+
+    /// Encodes the head as the value of a row.
+    ///
+    /// # Panics
+    ///
+    /// Never: numbers and strings always have an encoding.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        rmp_serde::to_vec(self).expect("a head has an encoding")
+    }
+
+    /// Decodes the value of a row.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Encoding`] when the bytes are not a head.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        rmp_serde::from_slice(bytes).context(EncodingSnafu { what: "head" })
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-core/src/config/pattern.rs
@@ -0,0 +1,37 @@
+//! Patterns that select requests by method and path.
+
+use serde::{Deserialize, Serialize};
+
+/// Method and path of requests that are not idempotent.
+///
+/// A path is matched segment by segment; `*` matches one segment and a
+/// trailing `**` matches any rest.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Pattern {
+    /// HTTP method in upper case, or `*` for any.
+    pub method: String,
+    /// Path pattern, starting with `/`.
+    pub path: String,
+}
+
+impl Pattern {
+    /// Returns whether a request is selected by this pattern.
+    #[must_use]
+    pub fn matches(&self, method: &str, path: &str) -> bool {
+        (self.method == "*" || self.method == method) && matches_path(&self.path, path)
+    }
+}
+
+fn matches_path(pattern: &str, path: &str) -> bool {
+    let mut segments = path.split('/');
+    for expected in pattern.split('/') {
+        if expected == "**" {
+            return true;
+        }
+        match segments.next() {
+            Some(segment) if expected == "*" || expected == segment => {}
+            _ => return false,
+        }
+    }
+    segments.next().is_none()
+}
--- /dev/null
+++ b/crates/lentilshunt-core/src/config/section.rs
@@ -0,0 +1,27 @@
+//! One encoded part of a snapshot.
+
+use super::manifest::hash;
+use crate::id::Digest;
+
+/// Name and encoded content of one part of a snapshot.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Section {
+    /// Name of the section: `topology` or `service/` and a name.
+    pub name: String,
+    /// Encoded content.
+    pub content: Vec<u8>,
+}
+
+impl Section {
+    /// Name of the section that holds regions and failure domains.
+    pub const TOPOLOGY: &'static str = "topology";
+
+    /// Start of the names of the sections that hold one service each.
+    pub const SERVICE: &'static str = "service/";
+
+    /// Returns the hash of the content, under which it is stored.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        hash(&self.content)
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-core/src/config/source/item.rs
@@ -0,0 +1,89 @@
+//! One section of a file, with checked access to its keys.
+
+use std::collections::BTreeMap;
+
+use ini::Properties;
+use lentilshunt_schema::ini::Problem;
+
+/// A section with its file and its kind and name, as in `[service boletas]`.
+#[derive(Clone, Debug)]
+pub(super) struct Item {
+    file: String,
+    section: String,
+    keys: BTreeMap<String, String>,
+}
+
+impl Item {
+    /// Reads the keys of a section; only `known` keys may stand in it, each once.
+    pub(super) fn read(
+        file: &str,
+        section: &str,
+        properties: &Properties,
+        known: &[&str],
+        problems: &mut Vec<Problem>,
+    ) -> Self {
+        let mut item = Self {
+            file: file.to_owned(),
+            section: section.to_owned(),
+            keys: BTreeMap::new(),
+        };
+        for (key, value) in properties {
+            if !known.contains(&key) {
+                let message = format!("unknown key; known are {}", known.join(", "));
+                problems.push(item.problem(message).key(key).value(value));
+            } else if item.keys.contains_key(key) {
+                let message = "this key stands twice; keep one";
+                problems.push(item.problem(message).key(key).value(value));
+            } else {
+                item.keys.insert(key.to_owned(), value.trim().to_owned());
+            }
+        }
+        item
+    }
+
+    /// Creates a problem of this section.
+    pub(super) fn problem(&self, message: impl Into<String>) -> Problem {
+        Problem::new(&self.file, message).section(&self.section)
+    }
+
+    /// Returns the value of a key, or reports that it is required.
+    pub(super) fn text(&self, key: &str, problems: &mut Vec<Problem>) -> Option<&str> {
+        match self.keys.get(key).map(String::as_str) {
+            Some("") | None => {
+                problems.push(self.problem("this key is required").key(key));
+                None
+            }
+            Some(value) => Some(value),
+        }
+    }
+
+    /// Returns a whole number of a range, or reports what would be right.
+    pub(super) fn number(
+        &self,
+        key: &str,
+        range: std::ops::RangeInclusive<u32>,
+        problems: &mut Vec<Problem>,
+    ) -> Option<u32> {
+        let text = self.text(key, problems)?;
+        match text.parse::<u32>() {
+            Ok(number) if range.contains(&number) => Some(number),
+            _ => {
+                let message = format!(
+                    "must be a whole number from {} to {}",
+                    range.start(),
+                    range.end()
+                );
+                problems.push(self.problem(message).key(key).value(text));
+                None
+            }
+        }
+    }
+
+    /// Returns the names of a list separated by commas; a missing key is an empty list.
+    pub(super) fn list(&self, key: &str) -> impl Iterator<Item = &str> {
+        let text = self.keys.get(key).map_or("", String::as_str);
+        text.split(',')
+            .map(str::trim)
+            .filter(|name| !name.is_empty())
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-core/src/dissemination/mod.rs
@@ -0,0 +1,18 @@
+//! How versions and records reach every node.
+//!
+//! A [`Strategy`] is a state machine without I/O: the owner feeds it
+//! [`Event`]s with the current instant and carries out the [`Action`]s it
+//! returns. Strategies stand behind one trait object, so that they run side by
+//! side under the same changes.
+
+mod action;
+mod event;
+mod poll;
+mod replica;
+mod strategy;
+
+pub use action::{Action, Question};
+pub use event::{Answer, Event};
+pub use poll::Poll;
+pub use replica::Replica;
+pub use strategy::Strategy;
--- /dev/null
+++ b/crates/lentilshunt-core/src/dissemination/replica.rs
@@ -0,0 +1,149 @@
+//! Fetches the content of a newer version and validates it as a whole.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use super::{Action, Question};
+use crate::{
+    config::{Error, Head, Manifest, Snapshot},
+    id::{Digest, VersionId},
+};
+
+/// The configuration that a node holds and the newer one that it fetches.
+///
+/// A version is installed only when it is higher than the installed one, all of
+/// its content has arrived with the right hashes, and it validates as a whole.
+#[derive(Debug, Default)]
+pub struct Replica {
+    installed: VersionId,
+    refused: VersionId,
+    sections: BTreeMap<Digest, Vec<u8>>,
+    fetch: Option<Fetch>,
+}
+
+#[derive(Debug)]
+struct Fetch {
+    head: Head,
+    manifest: Option<Manifest>,
+    sections: BTreeMap<Digest, Vec<u8>>,
+}
+
+impl Replica {
+    /// Returns the installed version; 0 before the first.
+    #[must_use]
+    pub fn installed(&self) -> VersionId {
+        self.installed
+    }
+
+    /// Starts to fetch a head if it is newer than what is installed, refused or being fetched.
+    ///
+    /// Returns the digest to fetch first.
+    pub fn offer(&mut self, head: &Head) -> Option<Digest> {
+        let known = self.fetch.as_ref().map_or(0, |fetch| fetch.head.version);
+        let newest = self.installed.max(self.refused).max(known);
+        if head.version <= newest {
+            return None;
+        }
+        self.fetch = Some(Fetch {
+            head: head.clone(),
+            manifest: None,
+            sections: BTreeMap::new(),
+        });
+        Some(head.digest.clone())
+    }
+
+    /// Returns the digests that the fetch in progress still lacks.
+    #[must_use]
+    pub fn missing(&self) -> Vec<Digest> {
+        let Some(fetch) = &self.fetch else {
+            return Vec::new();
+        };
+        let Some(manifest) = &fetch.manifest else {
+            return vec![fetch.head.digest.clone()];
+        };
+        manifest
+            .sections
+            .values()
+            .filter(|digest| !fetch.sections.contains_key(*digest))
+            .cloned()
+            .collect()
+    }
+
+    /// Takes fetched content and returns what follows from it.
+    ///
+    /// Content that nobody waits for is dropped.
+    pub fn supply(&mut self, digest: &str, content: Vec<u8>) -> Vec<Action> {
+        let Some(fetch) = &mut self.fetch else {
+            return Vec::new();
+        };
+        if fetch.manifest.is_none() && digest == fetch.head.digest {
+            match Manifest::decode(&content, digest) {
+                Ok(manifest) => {
+                    fetch.sections = held_sections(&manifest, &self.sections);
+                    fetch.manifest = Some(manifest);
+                }
+                Err(error) => return self.refuse(&error),
+            }
+        } else if fetch.manifest.is_some() {
+            fetch.sections.insert(digest.to_owned(), content);
+        }
+        let missing = self.missing();
+        if missing.is_empty() {
+            return self.complete();
+        }
+        missing
+            .into_iter()
+            .map(|digest| Action::Ask(Question::Fetch { digest }))
+            .collect()
+    }
+
+    fn complete(&mut self) -> Vec<Action> {
+        let Some(Fetch {
+            head,
+            manifest: Some(manifest),
+            sections,
+        }) = self.fetch.take()
+        else {
+            return Vec::new();
+        };
+        match Snapshot::assemble(&manifest, &sections) {
+            Ok(snapshot) => {
+                self.installed = head.version;
+                self.sections = sections;
+                vec![Action::Install {
+                    version: head.version,
+                    snapshot: Arc::new(snapshot),
+                }]
+            }
+            Err(error) => {
+                self.refused = head.version;
+                vec![refusal(&head, &error)]
+            }
+        }
+    }
+
+    fn refuse(&mut self, error: &Error) -> Vec<Action> {
+        let Some(fetch) = self.fetch.take() else {
+            return Vec::new();
+        };
+        self.refused = fetch.head.version;
+        vec![refusal(&fetch.head, error)]
+    }
+}
+
+fn refusal(head: &Head, error: &Error) -> Action {
+    Action::Refuse {
+        version: head.version,
+        reason: error.to_string(),
+    }
+}
+
+fn held_sections(
+    manifest: &Manifest,
+    held: &BTreeMap<Digest, Vec<u8>>,
+) -> BTreeMap<Digest, Vec<u8>> {
+    manifest
+        .sections
+        .values()
+        .filter_map(|digest| Some((digest.clone(), held.get(digest)?.clone())))
+        .collect()
+}
--- /dev/null
+++ b/crates/lentilshunt-core/src/membership/owner.rs
@@ -0,0 +1,88 @@
+//! The record that a node publishes about itself and its upstream.
+
+use super::{Announcement, Phase, Record};
+use crate::{id::Incarnation, routing::Place};
+
+/// Thousandths in a whole, the unit of reported load.
+const WHOLE_LOAD: u32 = 1000;
+
+/// Keeps the own record of a node up to date.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    record: Record,
+    stopping: bool,
+}
+
+impl Owner {
+    /// Creates the record of a node that has not heard of its upstream.
+    #[must_use]
+    pub fn new(place: &Place, address: String, incarnation: Incarnation) -> Self {
+        let record = Record {
+            instance: place.instance.clone(),
+            address,
+            region: place.region.clone(),
+            domain: place.domain.clone(),
+            incarnation,
+            sequence: 0,
+            service: String::new(),
+            phase: Phase::Starting,
+            slots: 0,
+            room: 0,
+        };
+        Self {
+            record,
+            stopping: false,
+        }
+    }
+
+    /// Returns the record as it is to be published.
+    #[must_use]
+    pub fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// Takes a report of the upstream and returns whether the record changed.
+    pub fn announce(&mut self, announcement: &Announcement) -> bool {
+        let mut record = self.record.clone();
+        record.service.clone_from(&announcement.service);
+        record.phase = announcement.phase;
+        record.slots = announcement.slots;
+        record.room = room(announcement);
+        if self.stopping && record.phase != Phase::Gone {
+            record.phase = Phase::Draining;
+        }
+        self.replace(record)
+    }
+
+    /// Marks the upstream as gone and returns whether the record changed.
+    pub fn silence(&mut self) -> bool {
+        let mut record = self.record.clone();
+        record.phase = Phase::Gone;
+        self.replace(record)
+    }
+
+    /// Marks the node as draining for good and returns whether the record changed.
+    pub fn stop(&mut self) -> bool {
+        self.stopping = true;
+        let mut record = self.record.clone();
+        record.phase = Phase::Draining;
+        self.replace(record)
+    }
+
+    fn replace(&mut self, record: Record) -> bool {
+        if record == self.record {
+            return false;
+        }
+        self.record = record;
+        self.record.sequence += 1;
+        true
+    }
+}
+
+/// Returns the reported free slots, in steps of a third of the slots.
+fn room(announcement: &Announcement) -> u32 {
+    let load = announcement.load.min(WHOLE_LOAD);
+    let free = announcement.slots * (WHOLE_LOAD - load) / WHOLE_LOAD;
+    let step = (announcement.slots / 3).max(1);
+    free / step * step
+}
--- /dev/null
+++ b/crates/lentilshunt-core/src/membership/view.rs
@@ -0,0 +1,42 @@
+//! The endpoints that a node knows.
+
+use std::sync::Arc;
+
+use super::{Endpoint, Phase, Record};
+
+/// Endpoints known to a node at one instant.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct View {
+    /// Endpoints in the order of their instances.
+    pub endpoints: Vec<Arc<Endpoint>>,
+}
+
+impl View {
+    /// Builds a view from records.
+    ///
+    /// Records without a service, records of gone upstreams and records whose
+    /// address is not an IP address and port give no endpoint.
+    #[must_use]
+    pub fn new<'a>(records: impl IntoIterator<Item = &'a Record>) -> Self {
+        let mut endpoints: Vec<_> = records.into_iter().filter_map(endpoint).collect();
+        endpoints.sort_by(|left, right| left.instance.cmp(&right.instance));
+        Self { endpoints }
+    }
+}
+
+fn endpoint(record: &Record) -> Option<Arc<Endpoint>> {
+    if record.service.is_empty() || record.phase == Phase::Gone {
+        return None;
+    }
+    Some(Arc::new(Endpoint {
+        instance: record.instance.clone(),
+        address: record.address.parse().ok()?,
+        region: record.region.clone(),
+        domain: record.domain.clone(),
+        incarnation: record.incarnation,
+        service: record.service.clone(),
+        phase: record.phase,
+        slots: record.slots,
+        room: record.room,
+    }))
+}
--- /dev/null
+++ b/crates/lentilshunt-core/src/routing/route.rs
@@ -0,0 +1,31 @@
+//! The endpoints and rules of one service.
+
+use std::sync::Arc;
+
+use super::Place;
+use crate::{config::Service, membership::Endpoint};
+
+/// One service with its rules and the endpoints it may be reached at.
+///
+/// A route owns its endpoints, so it cannot name one that the node does not
+/// have. A service without a live endpoint has a route whose tiers are empty.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Route {
+    /// Rules of the service.
+    pub service: Service,
+    /// Endpoints by [`Place::distance`].
+    pub tiers: [Vec<Arc<Endpoint>>; Place::DISTANCES],
+}
+
+impl Route {
+    /// Returns the endpoints from the nearest to the farthest.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
+        self.tiers.iter().flatten()
+    }
+
+    /// Returns whether no endpoint is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.tiers.iter().all(Vec::is_empty)
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-core/src/routing/table.rs
@@ -0,0 +1,61 @@
+//! The route table of one version and one view.
+
+use std::{collections::HashMap, sync::Arc};
+
+use super::{Place, Route};
+use crate::{
+    config::Snapshot,
+    id::{ServiceId, VersionId},
+    membership::{Phase, View},
+};
+
+/// Routes of every service in one configuration, built from one view.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Table {
+    version: VersionId,
+    routes: HashMap<ServiceId, Route>,
+}
+
+impl Table {
+    /// Builds the routes of a snapshot over the endpoints of a view.
+    ///
+    /// Only ready endpoints in a failure domain of the snapshot are routed to.
+    #[must_use]
+    pub fn new(version: VersionId, snapshot: &Snapshot, view: &View, place: &Place) -> Self {
+        let mut routes: HashMap<ServiceId, Route> = HashMap::new();
+        for (name, service) in &snapshot.services {
+            let route = Route {
+                service: service.clone(),
+                tiers: Default::default(),
+            };
+            routes.insert(name.clone(), route);
+        }
+        for endpoint in &view.endpoints {
+            let known_domain = snapshot.topology.domains.contains_key(&endpoint.domain);
+            if endpoint.phase != Phase::Ready || !known_domain {
+                continue;
+            }
+            if let Some(route) = routes.get_mut(&endpoint.service) {
+                route.tiers[place.distance(endpoint)].push(Arc::clone(endpoint));
+            }
+        }
+        Self { version, routes }
+    }
+
+    /// Returns the version that the table was built from; 0 before the first.
+    #[must_use]
+    pub fn version(&self) -> VersionId {
+        self.version
+    }
+
+    /// Returns the route of a service, if the configuration contains it.
+    #[must_use]
+    pub fn route(&self, service: &str) -> Option<&Route> {
+        self.routes.get(service)
+    }
+
+    /// Returns every route with the name of its service, in no set order.
+    pub fn routes(&self) -> impl Iterator<Item = (&ServiceId, &Route)> {
+        self.routes.iter()
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-load/src/check/reader.rs
@@ -0,0 +1,27 @@
+//! Reads a history.
+
+use std::{
+    fs::File,
+    io::{self, BufRead, BufReader},
+    path::Path,
+};
+
+use lentilshunt_schema::history::Event;
+
+/// Reads the events of a file in the order of their instants.
+///
+/// A last line that a killed process left incomplete is passed over.
+///
+/// # Errors
+///
+/// Returns the error of the file system.
+pub fn read(file: &Path) -> io::Result<Vec<Event>> {
+    let mut events = Vec::new();
+    for line in BufReader::new(File::open(file)?).lines() {
+        if let Ok(event) = serde_json::from_str::<Event>(&line?) {
+            events.push(event);
+        }
+    }
+    events.sort_by_key(|event| event.at_us);
+    Ok(events)
+}
--- /dev/null
+++ b/crates/lentilshunt-load/src/report/mod.rs
@@ -0,0 +1,7 @@
+//! What a run measured, as text and JSON.
+
+mod percentile;
+mod summary;
+
+pub use percentile::Percentiles;
+pub use summary::{Calls, ControlBytes, Report, Versions};
--- /dev/null
+++ b/crates/lentilshunt-load/src/report/percentile.rs
@@ -0,0 +1,47 @@
+//! Percentiles of measured values.
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// Microseconds in a millisecond.
+const MICROS: f64 = 1000.0;
+
+/// Median, 99th percentile and maximum in milliseconds; null when nothing was measured.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Percentiles {
+    /// Median.
+    pub p50: Option<f64>,
+    /// 99th percentile.
+    pub p99: Option<f64>,
+    /// Maximum.
+    pub max: Option<f64>,
+}
+
+impl Percentiles {
+    /// Summarises values in microseconds.
+    ///
+    /// # Panics
+    ///
+    /// Never: the precision of the histogram is valid, and it resizes.
+    #[must_use]
+    pub fn of_us(values: impl IntoIterator<Item = u64>) -> Self {
+        let mut histogram = Histogram::<u64>::new(3).expect("a valid precision");
+        for value in values {
+            histogram.record(value).expect("the histogram resizes");
+        }
+        if histogram.is_empty() {
+            return Self::default();
+        }
+        let at = |quantile| Some(to_ms(histogram.value_at_quantile(quantile)));
+        Self {
+            p50: at(0.5),
+            p99: at(0.99),
+            max: Some(to_ms(histogram.max())),
+        }
+    }
+}
+
+#[allow(clippy::cast_precision_loss, reason = "times stay far below 2^52 us")]
+fn to_ms(value: u64) -> f64 {
+    value as f64 / MICROS
+}
--- /dev/null
+++ b/crates/lentilshunt-load/src/report/summary.rs
@@ -0,0 +1,145 @@
+//! The report of a run.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use super::Percentiles;
+use crate::check;
+
+/// Control bytes by class of link; null when not measured.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct ControlBytes {
+    /// Bytes between nodes of one failure domain.
+    pub same_domain: Option<u64>,
+    /// Bytes between failure domains of one region.
+    pub other_domain: Option<u64>,
+    /// Bytes between regions.
+    pub other_region: Option<u64>,
+    /// Bytes to and from the platform.
+    pub platform: Option<u64>,
+}
+
+/// Calls by how they ended.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Calls {
+    /// Calls that callers sent.
+    pub sent: u64,
+    /// Calls answered by an upstream.
+    pub answered: u64,
+    /// Calls told to be not run.
+    pub refused_not_run: u64,
+    /// Calls told that they may have run.
+    pub may_have_run: u64,
+    /// Calls with a wrong answer, or told to be not run although they ran.
+    pub lost: u64,
+    /// Non-idempotent calls that ran twice.
+    pub duplicated: u64,
+}
+
+/// Versions accepted and broken promises about them.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Versions {
+    /// Versions accepted.
+    pub accepted: u64,
+    /// Installations of an older version.
+    pub moved_back: u64,
+    /// Installations of other content than accepted.
+    pub partial: u64,
+}
+
+/// What a run measured.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Report {
+    /// Nodes in the fleet.
+    pub nodes: usize,
+    /// Time from an acceptance until a version was in force, over nodes and versions.
+    pub convergence_ms: Percentiles,
+    /// Bytes of control traffic.
+    pub control_bytes: ControlBytes,
+    /// Calls by how they ended.
+    pub calls: Calls,
+    /// Versions.
+    pub versions: Versions,
+    /// Routes that pointed at nothing; null when not measured.
+    pub routes_dangling: Option<u64>,
+    /// Latency added to a call by the nodes.
+    pub added_latency_ms: Percentiles,
+}
+
+impl Report {
+    /// Creates the report of a judged history.
+    #[must_use]
+    pub fn new(nodes: usize, runs: &check::Runs, versions: &check::Versions) -> Self {
+        Self {
+            nodes,
+            convergence_ms: Percentiles::of_us(versions.convergence_us.iter().copied()),
+            calls: Calls {
+                sent: runs.sent,
+                answered: runs.answered,
+                refused_not_run: runs.refused_not_run,
+                may_have_run: runs.may_have_run,
+                lost: runs.lost + runs.false_not_run,
+                duplicated: runs.duplicated,
+            },
+            versions: Versions {
+                accepted: versions.accepted,
+                moved_back: versions.moved_back,
+                partial: versions.partial,
+            },
+            ..Self::default()
+        }
+    }
+
+    /// Returns whether a promise was broken.
+    #[must_use]
+    pub fn has_violation(&self) -> bool {
+        let broken = [
+            self.calls.lost,
+            self.calls.duplicated,
+            self.versions.moved_back,
+            self.versions.partial,
+            self.routes_dangling.unwrap_or_default(),
+        ];
+        broken.iter().any(|count| *count > 0)
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let calls = &self.calls;
+        let rows = [
+            ("nodes", self.nodes.to_string()),
+            ("convergence p50/p99/max ms", line(&self.convergence_ms)),
+            ("added latency p50/p99/max ms", line(&self.added_latency_ms)),
+            ("calls sent", calls.sent.to_string()),
+            ("calls answered", calls.answered.to_string()),
+            ("calls refused, not run", calls.refused_not_run.to_string()),
+            ("calls that may have run", calls.may_have_run.to_string()),
+            ("calls lost", calls.lost.to_string()),
+            ("calls duplicated", calls.duplicated.to_string()),
+            ("versions accepted", self.versions.accepted.to_string()),
+            ("versions moved back", self.versions.moved_back.to_string()),
+            ("versions partial", self.versions.partial.to_string()),
+            ("routes dangling", optional(self.routes_dangling)),
+        ];
+        for (name, value) in rows {
+            writeln!(f, "{name:<30} {value}")?;
+        }
+        Ok(())
+    }
+}
+
+fn line(percentiles: &Percentiles) -> String {
+    let text = |value: Option<f64>| value.map_or_else(|| "-".to_owned(), |ms| format!("{ms:.2}"));
+    format!(
+        "{} / {} / {}",
+        text(percentiles.p50),
+        text(percentiles.p99),
+        text(percentiles.max)
+    )
+}
+
+fn optional(value: Option<u64>) -> String {
+    value.map_or_else(|| "-".to_owned(), |value| value.to_string())
+}
--- /dev/null
+++ b/crates/lentilshunt-net/src/history/event.rs
@@ -0,0 +1,36 @@
+//! Creates events.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use lentilshunt_schema::history::{Event, Kind};
+
+/// Returns the time in microseconds since the Unix epoch.
+#[must_use]
+pub fn now_us() -> u64 {
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// Creates an event of now without details; the writer adds the process.
+#[must_use]
+pub fn event(kind: Kind) -> Event {
+    Event {
+        at_us: now_us(),
+        process: String::new(),
+        kind,
+        incarnation: None,
+        request: None,
+        key: None,
+        service: None,
+        instance: None,
+        idempotent: None,
+        version: None,
+        digest: None,
+        verdict: None,
+        status: None,
+        detail: None,
+        expected: None,
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-net/src/history/mod.rs
@@ -0,0 +1,7 @@
+//! Events for the checkers of test runs.
+
+mod event;
+mod writer;
+
+pub use event::{event, now_us};
+pub use writer::Writer;
--- /dev/null
+++ b/crates/lentilshunt-net/src/http/mod.rs
@@ -0,0 +1,14 @@
+//! HTTP server and client connections.
+
+mod error;
+mod exchange;
+mod handler;
+mod lane;
+mod pool;
+mod server;
+
+pub use error::Error;
+pub use exchange::Exchange;
+pub use handler::{Handler, empty, whole};
+pub use pool::Pool;
+pub use server::Server;
--- /dev/null
+++ b/crates/lentilshunt-net/src/http/server.rs
@@ -0,0 +1,84 @@
+//! An HTTP server with a graceful stop.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use super::Handler;
+
+/// Pause after the listener failed to accept, for example without free descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A server that answers requests by a [`Handler`] until it is stopped.
+#[derive(Debug)]
+pub struct Server {
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+}
+
+impl Server {
+    /// Listens on an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket when the address cannot be listened on.
+    pub async fn bind(address: SocketAddr, handler: Arc<dyn Handler>) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        Ok(Self { listener, handler })
+    }
+
+    /// Returns the address that the server listens on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Answers requests until `stop` is cancelled and all requests in flight are answered.
+    pub async fn run(self, stop: CancellationToken) {
+        let connections = TaskTracker::new();
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                () = stop.cancelled() => break,
+            };
+            match accepted {
+                Ok((stream, _peer)) => {
+                    let handler = Arc::clone(&self.handler);
+                    connections.spawn(connection(stream, handler, stop.clone()));
+                }
+                Err(_exhausted) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            }
+        }
+        drop(self.listener);
+        connections.close();
+        connections.wait().await;
+    }
+}
+
+async fn connection(stream: TcpStream, handler: Arc<dyn Handler>, stop: CancellationToken) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(|request| {
+        let handler = Arc::clone(&handler);
+        async move { Ok::<_, std::convert::Infallible>(handler.handle(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        // A client that closes early is not an error of the server.
+        _ended = connection.as_mut() => {}
+        () = stop.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            drop(connection.await);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-node/src/entry/reader.rs
@@ -0,0 +1,65 @@
+//! Reads a call from a caller's request.
+
+use std::time::{Duration, Instant};
+
+use http_body_util::{BodyExt, Limited};
+use hyper::{Request, body::Incoming, http::request::Parts};
+use lentilshunt_core::verdict::Reason;
+use lentilshunt_net::call::{Call, Name, end_to_end};
+
+use crate::context::Context;
+
+/// Reads a call, or tells why the request is refused.
+pub(super) async fn read(context: &Context, request: Request<Incoming>) -> Result<Call, Reason> {
+    let now = Instant::now();
+    let (parts, body) = request.into_parts();
+    let service = text(&parts, Name::SERVICE).ok_or(Reason::BadRequest)?;
+    let caller = text(&parts, Name::CALLER).ok_or(Reason::BadRequest)?;
+    let idempotent = admit(context, service, caller, &parts)?;
+    let limit = usize::try_from(context.settings.calls.body_bytes).unwrap_or(usize::MAX);
+    let body = match Limited::new(body, limit).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<hyper::Error>() => return Err(Reason::BadRequest),
+        Err(_too_long) => return Err(Reason::TooLarge),
+    };
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    Ok(Call {
+        request: format!("{:032x}", rand::random::<u128>()),
+        service: service.to_owned(),
+        caller: caller.to_owned(),
+        path: path.to_owned(),
+        idempotent,
+        key: text(&parts, Name::KEY).map(ToOwned::to_owned),
+        deadline: now + timeout(context, &parts)?,
+        headers: end_to_end(&parts.headers),
+        method: parts.method,
+        body,
+    })
+}
+
+/// Checks a request against the rules in force and returns whether it is idempotent.
+fn admit(context: &Context, service: &str, caller: &str, parts: &Parts) -> Result<bool, Reason> {
+    let routes = context.routes.load();
+    if routes.version() == 0 {
+        return Err(Reason::NoConfiguration);
+    }
+    let route = routes.route(service).ok_or(Reason::UnknownService)?;
+    if !route.service.callers.contains(caller) {
+        return Err(Reason::CallerNotAllowed);
+    }
+    let path = parts.uri.path();
+    Ok(route.service.is_idempotent(parts.method.as_str(), path))
+}
+
+fn timeout(context: &Context, parts: &Parts) -> Result<Duration, Reason> {
+    let longest = context.settings.calls.timeout_ms.get();
+    let Some(named) = text(parts, Name::DEADLINE) else {
+        return Ok(Duration::from_millis(longest));
+    };
+    let named: u64 = named.parse().map_err(|_malformed| Reason::BadRequest)?;
+    Ok(Duration::from_millis(named.min(longest)))
+}
+
+fn text<'a>(parts: &'a Parts, name: &str) -> Option<&'a str> {
+    parts.headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/lentilshunt-node/src/entry/remote.rs
@@ -0,0 +1,91 @@
+//! Executes attempts on other nodes.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hyper::{Method, Request, Uri};
+use lentilshunt_core::{id::RequestId, membership::Endpoint, verdict::Reason};
+use lentilshunt_net::{
+    Pending,
+    call::{Call, Executor, Reply, read_reply, write_call},
+    http::Exchange,
+};
+use lentilshunt_schema::call::{Resolution, Resolve};
+
+use crate::{context::Context, peer::path};
+
+/// Longest wait for the answer to a resolution.
+const RESOLVE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Sends attempts to other nodes over pooled connections.
+#[derive(Debug)]
+pub struct Remote {
+    context: Arc<Context>,
+}
+
+impl Remote {
+    /// Creates an executor on other nodes.
+    #[must_use]
+    pub fn new(context: Arc<Context>) -> Self {
+        Self { context }
+    }
+
+    fn limit(&self) -> usize {
+        usize::try_from(self.context.settings.calls.body_bytes).unwrap_or(usize::MAX)
+    }
+
+    async fn send(&self, endpoint: &Endpoint, call: &Call) -> Reply {
+        let Ok(request) = write_call(path::CALL, call, Instant::now()) else {
+            return Reply::refused(Reason::BadRequest);
+        };
+        let exchange = Exchange {
+            address: endpoint.address,
+            deadline: call.deadline,
+            limit: self.limit(),
+        };
+        match self.context.pool.exchange(exchange, request).await {
+            Ok(response) => {
+                read_reply(response).unwrap_or_else(|| Reply::unknown(Reason::BadAnswer))
+            }
+            Err(error) => Reply::failed(error.verdict(), error.reason()),
+        }
+    }
+
+    async fn ask(
+        &self,
+        endpoint: &Endpoint,
+        request: RequestId,
+    ) -> Option<(Resolution, Option<Reply>)> {
+        let resolve = Resolve { request };
+        let body = rmp_serde::to_vec_named(&resolve).ok()?;
+        let mut request = Request::new(Bytes::from(body));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = Uri::from_static(path::RESOLVE);
+        let exchange = Exchange {
+            address: endpoint.address,
+            deadline: Instant::now() + RESOLVE_TIMEOUT,
+            limit: self.limit(),
+        };
+        let response = self.context.pool.exchange(exchange, request).await.ok()?;
+        let resolution = response.headers().get(path::RESOLUTION)?.to_str().ok()?;
+        let resolution: Resolution = resolution.parse().ok()?;
+        Some((resolution, read_reply(response)))
+    }
+}
+
+impl Executor for Remote {
+    fn execute(&self, endpoint: Arc<Endpoint>, call: Arc<Call>) -> Pending<'_, Reply> {
+        Box::pin(async move { self.send(&endpoint, &call).await })
+    }
+
+    fn resolve(
+        &self,
+        endpoint: Arc<Endpoint>,
+        request: RequestId,
+    ) -> Pending<'_, Option<(Resolution, Option<Reply>)>> {
+        Box::pin(async move { self.ask(&endpoint, request).await })
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-node/src/executor/mod.rs
@@ -0,0 +1,7 @@
+//! Executes attempts on the own upstream.
+
+mod local;
+mod upstream;
+
+pub use local::Local;
+pub use upstream::Upstream;
--- /dev/null
+++ b/crates/lentilshunt-node/src/peer/mod.rs
@@ -0,0 +1,6 @@
+//! Takes messages of other nodes and of the own upstream.
+
+mod handler;
+pub mod path;
+
+pub use handler::Peer;
--- /dev/null
+++ b/crates/lentilshunt-node/src/shell/mod.rs
@@ -0,0 +1,149 @@
+//! Starts the parts of a node, and stops them gracefully.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwap;
+use lentilshunt_core::{
+    dissemination::{Event, Poll},
+    membership::Owner,
+    routing::{Nearest, Place},
+};
+use lentilshunt_net::{
+    history::{Writer, event, now_us},
+    http::{Handler, Pool, Server},
+    meter, platform,
+};
+use lentilshunt_schema::{history::Kind, settings};
+use rand::{SeedableRng, rngs::StdRng};
+use slog::{Logger, info};
+use tokio::{sync::mpsc, task::JoinHandle};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    admin::Admin,
+    context::Context,
+    control::Control,
+    entry::{Entry, Remote},
+    executor::Local,
+    peer::Peer,
+};
+
+/// Time between publishing that the node stops and closing its listeners.
+const NOTICE: Duration = Duration::from_millis(1500);
+/// Events that wait for the control task.
+const QUEUE_EVENTS: usize = 1024;
+
+/// Runs a node until `stop` is cancelled and its calls in flight have ended.
+///
+/// # Errors
+///
+/// Returns an error when an address cannot be listened on or the history file
+/// cannot be opened.
+pub async fn run(settings: settings::Node, log: Logger, stop: CancellationToken) -> io::Result<()> {
+    let metrics = meter::install();
+    let context = Arc::new(context(settings, log, stop)?);
+    context.history.write(event(Kind::Started));
+    let (events, received) = mpsc::channel(QUEUE_EVENTS);
+    let local = Arc::new(Local::new(Arc::clone(&context)));
+    let remote = Arc::new(Remote::new(Arc::clone(&context)));
+    let control = control(&context, events.clone())?;
+    let peer = Peer::new(Arc::clone(&context), Arc::clone(&local), events.clone());
+    let entry = Entry::new(Arc::clone(&context), local, remote, Arc::new(Nearest));
+    let admin = Admin::new(Arc::clone(&context), metrics);
+
+    let closed = CancellationToken::new();
+    let listen = &context.settings.listen;
+    let servers = [
+        serve(&listen.callers, Arc::new(entry), &closed).await?,
+        serve(&listen.peers, Arc::new(peer), &closed).await?,
+    ];
+    let admin = serve(&listen.admin, Arc::new(admin), &closed).await?;
+    let controlling = tokio::spawn(control.run(received));
+    info!(context.log, "the node runs"; "instance" => &context.place.instance);
+
+    context.stop.cancelled().await;
+    info!(context.log, "the node stops");
+    context.history.write(event(Kind::Stopping));
+    // The control task ends with the runtime; a full queue only delays the record.
+    drop(events.send(Event::Stopping).await);
+    tokio::time::sleep(NOTICE).await;
+    closed.cancel();
+    let drained = async {
+        for server in servers {
+            drop(server.await);
+        }
+    };
+    let drain = Duration::from_millis(context.settings.calls.drain_ms);
+    if tokio::time::timeout(drain, drained).await.is_err() {
+        info!(
+            context.log,
+            "calls were still in flight at the end of the drain"
+        );
+    }
+    controlling.abort();
+    admin.abort();
+    context.history.write(event(Kind::Stopped));
+    Ok(())
+}
+
+fn context(settings: settings::Node, log: Logger, stop: CancellationToken) -> io::Result<Context> {
+    let incarnation = now_us();
+    let instance = &settings.instance;
+    let process = format!("node/{}", instance.name);
+    let history = Writer::open(&settings.history.file, &process, incarnation)?;
+    let place = Place::new(
+        instance.name.clone(),
+        instance.domain.clone(),
+        instance.region.clone(),
+    );
+    Ok(Context {
+        place,
+        incarnation,
+        routes: ArcSwap::default(),
+        pool: Arc::new(Pool::default()),
+        stop,
+        history,
+        log,
+        settings,
+    })
+}
+
+fn control(context: &Arc<Context>, events: mpsc::Sender<Event>) -> io::Result<Control> {
+    let settings = &context.settings;
+    let address = address(&settings.platform.address)?;
+    let timeout = Duration::from_millis(settings.platform.timeout_ms.get());
+    let client = Arc::new(platform::Client::new(address, timeout));
+    let owner = Owner::new(
+        &context.place,
+        settings.listen.peers.clone(),
+        context.incarnation,
+    );
+    let random = StdRng::seed_from_u64(context.incarnation);
+    let strategy = Box::new(Poll::new(owner, random, Instant::now()));
+    let table = Arc::clone(&client);
+    Ok(Control::new(
+        Arc::clone(context),
+        strategy,
+        table,
+        client,
+        events,
+    ))
+}
+
+async fn serve(
+    text: &str,
+    handler: Arc<dyn Handler>,
+    closed: &CancellationToken,
+) -> io::Result<JoinHandle<()>> {
+    let server = Server::bind(address(text)?, handler).await?;
+    Ok(tokio::spawn(server.run(closed.clone())))
+}
+
+fn address(text: &str) -> io::Result<SocketAddr> {
+    text.parse().map_err(io::Error::other)
+}
--- /dev/null
+++ b/crates/lentilshunt-standin/src/lib.rs
@@ -0,0 +1,5 @@
+//! Stand-ins for the platform and for upstreams, for demos and tests.
+
+pub mod platform;
+pub mod start;
+pub mod upstream;
--- /dev/null
+++ b/crates/lentilshunt-standin/src/platform/handler.rs
@@ -0,0 +1,198 @@
+//! Serves the table, the object store and the faults over HTTP.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use lentilshunt_net::{
+    Pending,
+    http::{Handler, empty, whole},
+};
+use lentilshunt_schema::{
+    platform::{Fault, Scan, Transaction, Usage},
+    settings,
+};
+use serde::Serialize;
+
+use super::{Capacity, Rows};
+
+/// The platform stand-in.
+#[derive(Debug)]
+pub struct Platform {
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    rows: Rows,
+    objects: BTreeMap<String, Bytes>,
+    fault: Fault,
+    usage: Usage,
+    reads: Capacity,
+    writes: Capacity,
+}
+
+/// What the faults in force let happen to a request.
+enum Admission {
+    Serve,
+    LoseReply,
+    LoseRequest,
+    Refuse(StatusCode),
+}
+
+impl Platform {
+    /// Creates an empty platform without faults.
+    #[must_use]
+    pub fn new(capacity: &settings::Capacity, now: Instant) -> Self {
+        let state = State {
+            rows: Rows::default(),
+            objects: BTreeMap::new(),
+            fault: Fault {
+                down: false,
+                delay_ms: 0,
+                lose_replies: 0,
+                lose_requests: 0,
+            },
+            usage: Usage {
+                reads: 0,
+                writes: 0,
+                bytes_in: 0,
+                bytes_out: 0,
+                refused: 0,
+            },
+            reads: Capacity::new(capacity.reads_per_second.get(), now),
+            writes: Capacity::new(capacity.writes_per_second.get(), now),
+        };
+        Self {
+            state: Mutex::new(state),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (parts, body) = request.into_parts();
+        let Ok(body) = body.collect().await else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let body = body.to_bytes();
+        let path = parts.uri.path();
+        if path.starts_with("/admin/") {
+            return self.admin(&parts.method, path, &body);
+        }
+        let is_write = parts.method != Method::GET;
+        let delay = self.lock().fault.delay_ms;
+        if delay > 0 {
+            tokio::time::sleep(Duration::from_millis(delay)).await;
+        }
+        let admission = self.lock().admit(is_write, body.len());
+        match admission {
+            Admission::Refuse(status) => empty(status),
+            Admission::LoseRequest => std::future::pending().await,
+            Admission::LoseReply => {
+                drop(self.lock().serve(&parts.method, path, body));
+                std::future::pending().await
+            }
+            Admission::Serve => self.lock().serve(&parts.method, path, body),
+        }
+    }
+
+    fn admin(&self, method: &Method, path: &str, body: &[u8]) -> Response<Full<Bytes>> {
+        let mut state = self.lock();
+        match (method, path) {
+            (&Method::GET, "/admin/usage") => encode(&state.usage),
+            (&Method::POST, "/admin/fault") => match rmp_serde::from_slice(body) {
+                Ok(fault) => {
+                    state.fault = fault;
+                    empty(StatusCode::OK)
+                }
+                Err(_malformed) => empty(StatusCode::BAD_REQUEST),
+            },
+            _ => empty(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+impl Handler for Platform {
+    fn handle(&self, request: Request<Incoming>) -> Pending<'_, Response<Full<Bytes>>> {
+        Box::pin(self.answer(request))
+    }
+}
+
+impl State {
+    fn admit(&mut self, is_write: bool, bytes: usize) -> Admission {
+        let now = Instant::now();
+        self.usage.bytes_in += bytes as u64;
+        let within = if is_write {
+            self.usage.writes += 1;
+            self.writes.take(now)
+        } else {
+            self.usage.reads += 1;
+            self.reads.take(now)
+        };
+        if self.fault.down || !within {
+            self.usage.refused += 1;
+            return Admission::Refuse(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        if is_write && self.fault.lose_requests > 0 {
+            self.fault.lose_requests -= 1;
+            return Admission::LoseRequest;
+        }
+        if is_write && self.fault.lose_replies > 0 {
+            self.fault.lose_replies -= 1;
+            return Admission::LoseReply;
+        }
+        Admission::Serve
+    }
+
+    fn serve(&mut self, method: &Method, path: &str, body: Bytes) -> Response<Full<Bytes>> {
+        let response = if let Some(key) = path.strip_prefix("/table/row/") {
+            self.rows
+                .read(key)
+                .map_or_else(|| empty(StatusCode::NOT_FOUND), encode)
+        } else if let Some(prefix) = path.strip_prefix("/table/scan/") {
+            encode(&Scan {
+                rows: self.rows.scan(prefix),
+            })
+        } else if path == "/table/transact" {
+            self.transact(&body)
+        } else if let Some(name) = path.strip_prefix("/object/") {
+            self.object(method, name, body)
+        } else {
+            empty(StatusCode::NOT_FOUND)
+        };
+        let length = hyper::body::Body::size_hint(response.body()).lower();
+        self.usage.bytes_out += length;
+        response
+    }
+
+    fn transact(&mut self, body: &[u8]) -> Response<Full<Bytes>> {
+        match rmp_serde::from_slice::<Transaction>(body) {
+            Ok(transaction) => encode(&self.rows.transact(transaction)),
+            Err(_malformed) => empty(StatusCode::BAD_REQUEST),
+        }
+    }
+
+    fn object(&mut self, method: &Method, name: &str, body: Bytes) -> Response<Full<Bytes>> {
+        if method == Method::PUT {
+            self.objects.insert(name.to_owned(), body);
+            return empty(StatusCode::OK);
+        }
+        match self.objects.get(name) {
+            Some(content) => whole(StatusCode::OK, content.clone()),
+            None => empty(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+fn encode<T: Serialize>(value: &T) -> Response<Full<Bytes>> {
+    let body = rmp_serde::to_vec_named(value).expect("answers have an encoding");
+    whole(StatusCode::OK, body)
+}
--- /dev/null
+++ b/crates/lentilshunt-standin/src/upstream/state.rs
@@ -0,0 +1,107 @@
+//! What an upstream is doing.
+
+use std::{
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use lentilshunt_schema::{
+    peer::{Announcement, Phase},
+    settings,
+};
+use tokio::sync::Semaphore;
+
+/// How many times longer a request runs while the upstream is cold.
+const COLD_FACTOR: u32 = 10;
+/// Thousandths in a whole load.
+const WHOLE_LOAD: u32 = 1000;
+
+/// State shared by the requests and the announcements of an upstream.
+#[derive(Debug)]
+pub(super) struct State {
+    settings: settings::Service,
+    instance: String,
+    address: String,
+    incarnation: u64,
+    phase: Mutex<Phase>,
+    running: AtomicU32,
+    warm_at: Instant,
+    /// Slots in which requests run.
+    pub(super) slots: Semaphore,
+}
+
+impl State {
+    pub(super) fn new(settings: &settings::Upstream, incarnation: u64) -> Self {
+        let service = settings.upstream.clone();
+        let cold = Duration::from_millis(service.cold_ms);
+        Self {
+            instance: settings.instance.name.clone(),
+            address: settings.listen.address.clone(),
+            incarnation,
+            phase: Mutex::new(Phase::Ready),
+            running: AtomicU32::new(0),
+            warm_at: Instant::now() + cold,
+            slots: Semaphore::new(service.slots.get() as usize),
+            settings: service,
+        }
+    }
+
+    /// Returns the announcement of now.
+    pub(super) fn announcement(&self) -> Announcement {
+        let slots = self.settings.slots.get();
+        let running = self.running.load(Ordering::Relaxed).min(slots);
+        let load = if self.settings.mislead {
+            0
+        } else {
+            running * WHOLE_LOAD / slots
+        };
+        Announcement {
+            instance: self.instance.clone(),
+            service: self.settings.service.clone(),
+            address: self.address.clone(),
+            incarnation: self.incarnation,
+            phase: self.phase(),
+            slots,
+            connections: self.settings.connections.get(),
+            load,
+            healthy: true,
+        }
+    }
+
+    pub(super) fn phase(&self) -> Phase {
+        *self.phase.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn set_phase(&self, phase: Phase) {
+        *self.phase.lock().unwrap_or_else(PoisonError::into_inner) = phase;
+    }
+
+    /// Returns the time that a request which starts now runs.
+    pub(super) fn run_time(&self) -> Duration {
+        let usual = Duration::from_micros(self.settings.run_us);
+        if Instant::now() < self.warm_at {
+            usual * COLD_FACTOR
+        } else {
+            usual
+        }
+    }
+
+    pub(super) fn begin(&self) {
+        self.running.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn end(&self) {
+        self.running.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn service(&self) -> &str {
+        &self.settings.service
+    }
+
+    pub(super) fn instance(&self) -> &str {
+        &self.instance
+    }
+}
