feat(workspace): open connections from the own address and name an advertised one

Cause: later fault runs put a relay between processes; it has to tell sender and receiver apart without a change to the shipped program. Ruled out: a transport hook in the node, since it would ship. Before: connections came from the wildcard address.

--- /dev/null
+++ b/crates/lentilshunt-core/src/admission/mod.rs
@@ -0,0 +1,1 @@
+//! Which requests an upstream takes, and in which order.
--- /dev/null
+++ b/crates/lentilshunt-core/src/claim/mod.rs
@@ -0,0 +1,1 @@
+//! Claims that keep a repeated non-idempotent request from running twice.
--- /dev/null
+++ b/crates/lentilshunt-core/src/execution/mod.rs
@@ -0,0 +1,1 @@
+//! What became of each request on the executing node.
--- a/crates/lentilshunt-core/src/lib.rs
+++ b/crates/lentilshunt-core/src/lib.rs
@@ -13,11 +13,21 @@
 //! | [`membership`] | which nodes and upstreams exist, and in which phase |
 //! | [`dissemination`] | how versions and records reach every node |
 //! | [`routing`] | which endpoints a call may go to |
+//! | [`retry`] | whether a call may be tried again |
+//! | [`quarantine`] | which requests crash upstreams, and where they may still run |
+//! | [`admission`] | which requests an upstream takes, and in which order |
+//! | [`execution`] | what became of each request on the executing node |
+//! | [`claim`] | whether a repeated non-idempotent request has run already |
 //! | [`verdict`] | whether a request may have run, and why it was refused |
 
+pub mod admission;
+pub mod claim;
 pub mod config;
 pub mod dissemination;
+pub mod execution;
 pub mod id;
 pub mod membership;
+pub mod quarantine;
+pub mod retry;
 pub mod routing;
 pub mod verdict;
--- /dev/null
+++ b/crates/lentilshunt-core/src/quarantine/mod.rs
@@ -0,0 +1,1 @@
+//! Requests that crash upstreams, and where they may still run.
--- /dev/null
+++ b/crates/lentilshunt-core/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Whether a call may be tried again.
--- a/crates/lentilshunt-net/src/http/pool.rs
+++ b/crates/lentilshunt-net/src/http/pool.rs
@@ -1,6 +1,12 @@
 //! A pool of client connections.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Instant};
+use std::{
+    collections::HashMap,
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Instant,
+};
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
@@ -8,7 +14,10 @@
 use hyper::{Request, Response, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use snafu::ResultExt;
-use tokio::{net::TcpStream, time::timeout_at};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time::timeout_at,
+};
 
 use super::{
     Error, Exchange,
@@ -21,10 +30,20 @@
 /// Client connections to many servers, one request at a time on each.
 #[derive(Debug, Default)]
 pub struct Pool {
+    source: Option<IpAddr>,
     lanes: ArcSwap<HashMap<SocketAddr, Arc<Lane>>>,
 }
 
 impl Pool {
+    /// Creates a pool whose connections come from an address of this instance.
+    #[must_use]
+    pub fn from_source(source: IpAddr) -> Self {
+        Self {
+            source: Some(source),
+            ..Self::default()
+        }
+    }
+
     /// Sends a request and returns its answer with the whole body.
     ///
     /// A truncated body is an error. Dropping the future closes the
@@ -43,13 +62,28 @@
         let request = request.map(Full::new);
         let mut sender = match lane.take(Instant::now()) {
             Some(sender) => sender,
-            None => connect(exchange).await?,
+            None => self.connect(exchange).await?,
         };
         let answer = within(exchange, send(&mut sender, exchange, request)).await?;
         lane.give_back(sender, Instant::now());
         Ok(answer)
     }
 
+    async fn connect(&self, exchange: Exchange) -> Result<Sender, Error> {
+        let address = exchange.address;
+        let opening = open(self.source, address);
+        let stream = timeout_at(exchange.deadline.into(), opening)
+            .await
+            .map_err(|_elapsed| ConnectTimeoutSnafu { address }.build())?
+            .context(ConnectSnafu { address })?;
+        stream.set_nodelay(true).context(ConnectSnafu { address })?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .context(NotSentSnafu { address })?;
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+
     fn lane(&self, address: SocketAddr) -> Arc<Lane> {
         if let Some(lane) = self.lanes.load().get(&address) {
             return Arc::clone(lane);
@@ -64,19 +98,17 @@
     }
 }
 
-async fn connect(exchange: Exchange) -> Result<Sender, Error> {
-    let address = exchange.address;
-    let connecting = TcpStream::connect(address);
-    let stream = timeout_at(exchange.deadline.into(), connecting)
-        .await
-        .map_err(|_elapsed| ConnectTimeoutSnafu { address }.build())?
-        .context(ConnectSnafu { address })?;
-    stream.set_nodelay(true).context(ConnectSnafu { address })?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .context(NotSentSnafu { address })?;
-    tokio::spawn(connection);
-    Ok(sender)
+/// Opens a connection, from the address `source` if there is one.
+async fn open(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = source.filter(|source| source.is_ipv4() == address.is_ipv4()) else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match source {
+        IpAddr::V4(_) => TcpSocket::new_v4()?,
+        IpAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
 }
 
 async fn send(
--- a/crates/lentilshunt-net/src/platform/client.rs
+++ b/crates/lentilshunt-net/src/platform/client.rs
@@ -42,6 +42,13 @@
         }
     }
 
+    /// Creates a client whose connections come from `pool`.
+    #[must_use]
+    pub fn with_pool(mut self, pool: Pool) -> Self {
+        self.pool = pool;
+        self
+    }
+
     async fn send(
         &self,
         method: Method,
--- a/crates/lentilshunt-node/src/shell/mod.rs
+++ b/crates/lentilshunt-node/src/shell/mod.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -105,7 +105,7 @@
         place,
         incarnation,
         routes: ArcSwap::default(),
-        pool: Arc::new(Pool::default()),
+        pool: Arc::new(Pool::from_source(own_ip(&settings)?)),
         stop,
         history,
         log,
@@ -117,12 +117,15 @@
     let settings = &context.settings;
     let address = address(&settings.platform.address)?;
     let timeout = Duration::from_millis(settings.platform.timeout_ms.get());
-    let client = Arc::new(platform::Client::new(address, timeout));
-    let owner = Owner::new(
-        &context.place,
-        settings.listen.peers.clone(),
-        context.incarnation,
-    );
+    let pool = Pool::from_source(own_ip(settings)?);
+    let client = Arc::new(platform::Client::new(address, timeout).with_pool(pool));
+    let listen = &settings.listen;
+    let advertised = if listen.advertise.is_empty() {
+        &listen.peers
+    } else {
+        &listen.advertise
+    };
+    let owner = Owner::new(&context.place, advertised.clone(), context.incarnation);
     let random = StdRng::seed_from_u64(context.incarnation);
     let strategy = Box::new(Poll::new(owner, random, Instant::now()));
     let table = Arc::clone(&client);
@@ -144,6 +147,11 @@
     Ok(tokio::spawn(server.run(closed.clone())))
 }
 
+/// Returns the address that connections to other processes come from.
+fn own_ip(settings: &settings::Node) -> io::Result<IpAddr> {
+    address(&settings.listen.peers).map(|address| address.ip())
+}
+
 fn address(text: &str) -> io::Result<SocketAddr> {
     text.parse().map_err(io::Error::other)
 }
--- /dev/null
+++ b/xtask/src/chaos/mod.rs
@@ -0,0 +1,23 @@
+//! Runs a fleet under faults and checks every promise.
+
+use std::path::Path;
+
+use bpaf::Bpaf;
+use snafu::Whatever;
+
+/// Arguments of the run.
+#[derive(Bpaf, Clone, Debug)]
+pub struct Arguments {
+    /// Seed of all random choices
+    #[bpaf(argument("SEED"), fallback(1), display_fallback)]
+    seed: u64,
+}
+
+/// Runs the run.
+///
+/// # Errors
+///
+/// Returns an error: the run is not built yet.
+pub fn run(_root: &Path, arguments: &Arguments) -> Result<(), Whatever> {
+    snafu::whatever!("not built yet, seed {}", arguments.seed)
+}
--- a/xtask/src/demo/mod.rs
+++ b/xtask/src/demo/mod.rs
@@ -27,8 +27,6 @@
 
 /// Servers of each service.
 const SERVERS: usize = 6;
-/// Second part of the loopback addresses of the demo.
-const NETWORK: u8 = 20;
 /// Longest wait for the platform.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest wait for the start of the platform.
@@ -55,6 +53,9 @@
     /// Calls each second
     #[bpaf(argument("RATE"), fallback(400.0), display_fallback)]
     rate: f64,
+    /// Second part of the loopback addresses
+    #[bpaf(argument("NETWORK"), fallback(20), display_fallback)]
+    network: u8,
 }
 
 /// Runs the demo and writes `target/demo/report.json`.
@@ -76,7 +77,7 @@
 
 async fn play(root: &Path, arguments: &Arguments) -> Result<Report, Whatever> {
     let snapshot = example(root, &arguments.inventory)?;
-    let layout = Layout::new(&snapshot, SERVERS, NETWORK);
+    let layout = Layout::new(&snapshot, SERVERS, arguments.network);
     let folder = root.join("target/demo");
     let programs = root.join("target/debug");
     println!("starting {} nodes and upstreams", layout.servers.len());
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,8 @@
 //! Chores of the workspace.
 
+mod bench;
 mod cargo;
+mod chaos;
 mod demo;
 mod generate;
 mod lint;
@@ -15,6 +17,12 @@
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options)]
 enum Chore {
+    /// Measures ways to do one thing side by side
+    #[bpaf(command)]
+    Bench(#[bpaf(external(bench::matter))] bench::Matter),
+    /// Runs a fleet under faults and checks every promise
+    #[bpaf(command)]
+    Chaos(#[bpaf(external(chaos::arguments))] chaos::Arguments),
     /// Starts a fleet, calls it, changes its configuration and reports
     #[bpaf(command)]
     Demo(#[bpaf(external(demo::arguments))] demo::Arguments),
@@ -37,6 +45,8 @@
         .parent()
         .expect("xtask lies in the workspace");
     let result = match chore().run() {
+        Chore::Bench(matter) => bench::run(root, &matter),
+        Chore::Chaos(arguments) => chaos::run(root, &arguments),
         Chore::Demo(arguments) => demo::run(root, &arguments),
         Chore::Generate { check } => generate::run(root, check),
         Chore::Lint => lint::run(root),
