feat(cli): add diff, show, status, routes and rollback

The command could only check, accept and list. It now compares and prints versions, asks nodes which version they have in force, and accepts older content as a new version. A conflict tells the versions since the base, whose operations they were and which entries they changed.

The acceptance is a state machine in core: a reply lost on the way is settled by the head and the history row after the base. It no longer reports an empty conflict when its attempts run out, and it sends no transaction after its deadline.

Patterns of a service are kept in order, so that the order of files does not change the hash; rules that overlap and contradict are refused.

A node answers operators on the listener for peers as well, because its record holds only that address.

--- a/crates/lentilshunt-cli/src/accept/mod.rs
+++ b/crates/lentilshunt-cli/src/accept/mod.rs
@@ -1,49 +1,35 @@
 //! Puts a configuration into the platform and makes it the head.
 
-use lentilshunt_core::config::{self, Acceptance, Head, Snapshot, Step};
-use lentilshunt_net::platform::{self, Store, Table};
-use snafu::{ResultExt, Snafu};
+mod conflict;
+mod error;
 
-/// Attempts to settle an acceptance whose reply was lost.
-const MAX_ATTEMPTS: usize = 5;
+use std::time::{Duration, Instant};
 
-/// Failure to accept a configuration.
-#[derive(Debug, Snafu)]
-pub enum Error {
-    /// The platform cannot be reached; nothing was accepted.
-    #[snafu(display("the platform is not available; nothing was accepted"))]
-    Unavailable {
-        /// Failure of the platform.
-        source: platform::Error,
-    },
-    /// The platform does not tell whether the write took effect.
-    #[snafu(display("operation {operation}: the platform did not say whether it was accepted"))]
-    Unsettled {
-        /// Id of the attempt, to be looked up in the history.
-        operation: String,
-        /// Failure of the platform.
-        source: platform::Error,
-    },
-    /// Another version was accepted since the base.
-    #[snafu(display("conflict: version {} was accepted since version {base}", head.version))]
-    Conflict {
-        /// Version that the change was based on.
-        base: u64,
-        /// Version in force.
-        head: Head,
+use lentilshunt_core::{
+    config::{
+        Head, Snapshot,
+        acceptance::{Action, Ending, Event, Machine, Proposal},
     },
-    /// The head row cannot be read.
-    #[snafu(display("the head cannot be read"))]
-    Head {
-        /// Error of the decoder.
-        source: config::Error,
-    },
-}
+    id::{OperationId, VersionId},
+};
+use lentilshunt_net::platform::{self, Store, Table};
+use rand::{SeedableRng, rngs::StdRng};
+use snafu::ResultExt;
+
+pub use conflict::{Conflict, Revision};
+pub use error::Error;
+
+use self::error::{HeadSnafu, InvalidSnafu};
+use crate::version::Reader;
 
-/// Stores a snapshot and accepts it as the version after `base`.
+/// Longest time that [`accept`] tries to find out what became of its proposal.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Validates and stores a snapshot and accepts it as the version after `base`.
 ///
-/// A lost reply is settled by reading the head and history again: the
-/// operation id tells whether the write took effect.
+/// A lost reply is settled by reading the head and the history again: the
+/// operation id tells whether the write took effect. The same operation id may
+/// be used again to settle an earlier attempt.
 ///
 /// # Errors
 ///
@@ -53,69 +39,112 @@
     table: &dyn Table,
     store: &dyn Store,
     snapshot: &Snapshot,
-    base: u64,
-    operation: String,
+    base: VersionId,
+    operation: OperationId,
 ) -> Result<Head, Error> {
+    let expires_at = Instant::now() + TIMEOUT;
+    accept_until(table, store, snapshot, base, operation, expires_at).await
+}
+
+/// Does the same as [`accept`] and gives up at the first failure after `expires_at`.
+///
+/// # Errors
+///
+/// Returns the same errors as [`accept`].
+pub async fn accept_until(
+    table: &dyn Table,
+    store: &dyn Store,
+    snapshot: &Snapshot,
+    base: VersionId,
+    operation: OperationId,
+    expires_at: Instant,
+) -> Result<Head, Error> {
+    snapshot.validate().context(InvalidSnafu)?;
     let manifest = snapshot.manifest();
-    for section in snapshot.sections() {
-        let put = store.put(section.digest(), section.content).await;
-        put.context(UnavailableSnafu)?;
-    }
-    let put = store.put(manifest.digest(), manifest.encode()).await;
-    put.context(UnavailableSnafu)?;
-    let acceptance = Acceptance {
+    let sections = snapshot.sections().into_iter();
+    let mut objects = vec![manifest.encode()];
+    objects.extend(sections.map(|section| section.content));
+    let proposal = Proposal {
         operation,
         base,
         digest: manifest.digest(),
     };
-    settle(table, &acceptance).await
+    propose(table, store, proposal, objects, expires_at).await
 }
 
-async fn settle(table: &dyn Table, acceptance: &Acceptance) -> Result<Head, Error> {
-    let mut unsettled = None;
-    for _ in 0..MAX_ATTEMPTS {
-        let row = match table.read(Head::KEY.to_owned()).await {
-            Ok(row) => row,
-            Err(error) => {
-                unsettled = Some(unsettled.unwrap_or(error));
-                continue;
+/// Stores objects and accepts a proposal that names them.
+///
+/// # Errors
+///
+/// Returns the same errors as [`accept`].
+pub async fn propose(
+    table: &dyn Table,
+    store: &dyn Store,
+    proposal: Proposal,
+    objects: Vec<Vec<u8>>,
+    expires_at: Instant,
+) -> Result<Head, Error> {
+    let (base, operation) = (proposal.base, proposal.operation.clone());
+    let random = StdRng::seed_from_u64(rand::random());
+    let now = Instant::now();
+    let (mut machine, mut action) = Machine::start(proposal, objects, expires_at, random, now);
+    let mut failure = None;
+    loop {
+        let event = match carry_out(table, store, action).await {
+            Progress::Event(event) => event,
+            Progress::Failed(error) => {
+                let may_have_taken_effect = error.may_have_taken_effect();
+                failure = Some(error);
+                Event::Failed {
+                    may_have_taken_effect,
+                }
+            }
+            Progress::Ended(ending) => {
+                return match ending {
+                    Ending::Accepted(head) => Ok(head),
+                    Ending::Conflict { newest } => {
+                        let reader = Reader::new(table, store);
+                        let conflict = Box::new(Conflict::read(reader, base, newest).await);
+                        Err(Error::Conflict { conflict })
+                    }
+                    Ending::Unavailable => Err(Error::Unavailable { source: failure }),
+                    Ending::Unsettled => Err(Error::Unsettled {
+                        operation,
+                        source: failure,
+                    }),
+                    Ending::Broken(error) => Err(error).context(HeadSnafu),
+                };
             }
         };
-        match acceptance.step(row.as_ref()).context(HeadSnafu)? {
-            Step::Accepted(head) => return Ok(head),
-            Step::Conflict(head) => return conflict(table, acceptance, head).await,
-            Step::Transact(transaction) => match table.transact(transaction).await {
-                Ok(outcome) if outcome.committed => return Ok(acceptance.head()),
-                Ok(_lost_race) => {}
-                Err(error) => unsettled = Some(error),
-            },
-        }
-    }
-    match unsettled {
-        Some(source) if source.may_have_taken_effect() => {
-            let operation = acceptance.operation.clone();
-            Err(source).context(UnsettledSnafu { operation })
-        }
-        Some(source) => Err(source).context(UnavailableSnafu),
-        None => ConflictSnafu {
-            base: acceptance.base,
-            head: Head::default(),
-        }
-        .fail(),
+        action = machine.handle(Instant::now(), &event);
     }
 }
 
-/// Tells a conflict from an own write that was followed by another version.
-async fn conflict(table: &dyn Table, acceptance: &Acceptance, head: Head) -> Result<Head, Error> {
-    let base = acceptance.base;
-    let own = acceptance.head();
-    let row = table.read(Head::history_key(own.version)).await;
-    let row = row.with_context(|_| UnsettledSnafu {
-        operation: acceptance.operation.clone(),
-    })?;
-    let accepted = row.and_then(|row| Head::decode(&row.value).ok());
-    if accepted.as_ref() == Some(&own) {
-        return Ok(own);
-    }
-    ConflictSnafu { base, head }.fail()
+/// What came of an action.
+enum Progress {
+    Event(Event),
+    Failed(platform::Error),
+    Ended(Ending),
+}
+
+async fn carry_out(table: &dyn Table, store: &dyn Store, action: Action) -> Progress {
+    let event = match action {
+        Action::Put { digest, content } => {
+            let put = store.put(digest, content).await;
+            put.map(|()| Event::Stored)
+        }
+        Action::Read { key } => table.read(key).await.map(Event::Row),
+        Action::Transact(transaction) => {
+            let outcome = table.transact(transaction).await;
+            outcome.map(|outcome| Event::Outcome {
+                committed: outcome.committed,
+            })
+        }
+        Action::Wait { until } => {
+            tokio::time::sleep_until(until.into()).await;
+            Ok(Event::Timer)
+        }
+        Action::End(ending) => return Progress::Ended(ending),
+    };
+    event.map_or_else(Progress::Failed, Progress::Event)
 }
--- a/crates/lentilshunt-cli/src/command/files.rs
+++ b/crates/lentilshunt-cli/src/command/files.rs
@@ -1,17 +1,24 @@
 //! Reads the files that a command names.
 
-use std::{fs, path::PathBuf};
+use std::{
+    fs::File,
+    io::{self, Read},
+    path::{Path, PathBuf},
+};
 
-use lentilshunt_core::config::{Snapshot, Source, compile};
+use lentilshunt_core::config::{Compiled, Source, inspect};
 use lentilshunt_schema::ini::{Problem, Problems};
 
+/// Bytes after which reading a file ends; a longer file is refused.
+const MAX_READ_BYTES: u64 = 16 * 1024 * 1024;
+
 /// Compiles the files of an inventory and its rules.
-pub(super) fn compile_files(files: &[PathBuf]) -> Result<Snapshot, Problems> {
+pub(super) fn compile_files(files: &[PathBuf]) -> Result<Compiled, Problems> {
     let mut contents = Vec::new();
     let mut problems = Vec::new();
     for file in files {
         let name = file.display().to_string();
-        match fs::read(file) {
+        match read(file) {
             Ok(bytes) => contents.push((name, bytes)),
             Err(error) => {
                 let message = format!("the file cannot be read: {error}");
@@ -26,5 +33,19 @@
         .iter()
         .map(|(name, bytes)| Source { name, bytes })
         .collect();
-    compile(&sources)
+    inspect(&sources)
+}
+
+fn read(file: &Path) -> io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    let mut reader = File::open(file)?.take(MAX_READ_BYTES);
+    reader.read_to_end(&mut bytes)?;
+    Ok(bytes)
+}
+
+/// Prints warnings on the standard error stream.
+pub(super) fn warn(warnings: &Problems) {
+    for warning in &warnings.0 {
+        eprintln!("warning: {warning}");
+    }
 }
--- /dev/null
+++ b/crates/lentilshunt-core/src/config/acceptance/mod.rs
@@ -0,0 +1,26 @@
+//! Accepts a version by one transaction, whatever becomes of the messages.
+//!
+//! The platform may lose a request or its reply, and other operators may
+//! accept versions at any time. A [`Machine`] stores the content, reads the
+//! head, sends the transaction, and after a lost reply reads the head and the
+//! history again until it knows whether the [`Proposal`] was accepted.
+//!
+//! | state | asks for | goes on to |
+//! |---|---|---|
+//! | storing | a put of each object | reading |
+//! | reading | the head row | transacting if the head is the base, settling if it is newer, else ended |
+//! | transacting | the transaction | ended if committed, reading if not, pausing if not known |
+//! | pausing | a wait | reading |
+//! | settling | the history row after the base | ended: own operation or another's |
+
+mod action;
+mod ending;
+mod event;
+mod machine;
+mod proposal;
+
+pub use action::Action;
+pub use ending::Ending;
+pub use event::Event;
+pub use machine::Machine;
+pub use proposal::{Proposal, Step};
--- a/crates/lentilshunt-core/src/config/acceptance.rs
+++ b/crates/lentilshunt-core/src/config/acceptance/proposal.rs
@@ -1,13 +1,15 @@
-//! Accepts a version by one transaction.
+//! The version to be accepted and the transaction that accepts it.
 
 use lentilshunt_schema::platform::{Condition, Expectation, Row, Transaction, Write};
 
-use super::Head;
-use crate::id::{Digest, OperationId, VersionId};
+use crate::{
+    config::{Error, Head},
+    id::{Digest, OperationId, VersionId},
+};
 
 /// One operator's attempt to accept a configuration.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Acceptance {
+pub struct Proposal {
     /// Id of the attempt; it tells an own lost write from another operator's.
     pub operation: OperationId,
     /// Version that the change was based on; 0 for the first.
@@ -16,24 +18,24 @@
     pub digest: Digest,
 }
 
-/// What a read of the head row says of an acceptance.
+/// What the head row says of a proposal.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
     /// The head is the base; this transaction accepts the next version.
     Transact(Transaction),
-    /// The head is another version, accepted by someone else.
+    /// The head is another version than the base.
     Conflict(Head),
-    /// The head is this acceptance already.
+    /// The head is this proposal.
     Accepted(Head),
 }
 
-impl Acceptance {
+impl Proposal {
     /// Decides the next step from the head row as it was read.
     ///
     /// # Errors
     ///
     /// Returns an error when the row does not hold a head.
-    pub fn step(&self, row: Option<&Row>) -> Result<Step, super::Error> {
+    pub fn step(&self, row: Option<&Row>) -> Result<Step, Error> {
         let head = match row {
             Some(row) => Head::decode(&row.value)?,
             None => Head::default(),
@@ -50,7 +52,7 @@
         Ok(Step::Transact(self.transaction(expectation)))
     }
 
-    /// Returns the head that this acceptance makes.
+    /// Returns the head that this proposal makes.
     #[must_use]
     pub fn head(&self) -> Head {
         Head {
--- a/crates/lentilshunt-core/src/config/head.rs
+++ b/crates/lentilshunt-core/src/config/head.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 
-use super::{EncodingSnafu, Error};
+use super::{EncodingSnafu, Error, limit::MAX_HEAD_BYTES, manifest::check_length};
 use crate::id::{Digest, OperationId, VersionId};
 
 /// Number and content hash of an accepted version.
@@ -21,10 +21,13 @@
     /// Key of the row that holds the newest head.
     pub const KEY: &'static str = "head";
 
+    /// Start of the keys of the history rows.
+    pub const HISTORY: &'static str = "history/";
+
     /// Returns the key of the history row of a version.
     #[must_use]
     pub fn history_key(version: VersionId) -> String {
-        format!("history/{version:020}")
+        format!("{}{version:020}", Self::HISTORY)
     }
 
     /// Encodes the head as the value of a row.
@@ -41,8 +44,10 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Encoding`] when the bytes are not a head.
+    /// Returns [`Error::Encoding`] when the bytes are not a head and
+    /// [`Error::Length`] when they are longer than a head can be.
     pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        check_length("head", bytes, MAX_HEAD_BYTES)?;
         rmp_serde::from_slice(bytes).context(EncodingSnafu { what: "head" })
     }
 }
--- a/crates/lentilshunt-core/src/config/manifest.rs
+++ b/crates/lentilshunt-core/src/config/manifest.rs
@@ -5,7 +5,10 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, ensure};
 
-use super::{EncodingSnafu, Error, HashSnafu};
+use super::{
+    CanonicalSnafu, CountSnafu, EncodingSnafu, Error, HashSnafu, LengthSnafu,
+    limit::{MAX_MANIFEST_BYTES, MAX_SERVICES},
+};
 use crate::id::Digest;
 
 /// Names and content hashes of the sections of a snapshot.
@@ -26,13 +29,15 @@
         rmp_serde::to_vec(self).expect("a manifest has an encoding")
     }
 
-    /// Decodes a manifest and checks its hash.
+    /// Decodes a manifest and checks its length, its hash and its form.
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Hash`] when the bytes do not have the hash `digest`
-    /// and [`Error::Encoding`] when they are not a manifest.
+    /// Returns [`Error::Hash`] when the bytes do not have the hash `digest`,
+    /// [`Error::Encoding`] or [`Error::Canonical`] when they are not a
+    /// manifest, and [`Error::Length`] or [`Error::Count`] over the limits.
     pub fn decode(bytes: &[u8], digest: &str) -> Result<Self, Error> {
+        check_length("manifest", bytes, MAX_MANIFEST_BYTES)?;
         let found = hash(bytes);
         ensure!(
             found == digest,
@@ -42,7 +47,21 @@
                 found
             }
         );
-        rmp_serde::from_slice(bytes).context(EncodingSnafu { what: "manifest" })
+        let manifest: Self =
+            rmp_serde::from_slice(bytes).context(EncodingSnafu { what: "manifest" })?;
+        let canonical = manifest.encode() == bytes;
+        ensure!(canonical, CanonicalSnafu { what: "manifest" });
+        let found = manifest.sections.len();
+        let limit = MAX_SERVICES + 1;
+        ensure!(
+            found <= limit,
+            CountSnafu {
+                what: "sections",
+                found,
+                limit
+            }
+        );
+        Ok(manifest)
     }
 
     /// Returns the hash of the encoded manifest, which names the snapshot.
@@ -57,3 +76,10 @@
 pub(super) fn hash(bytes: &[u8]) -> Digest {
     blake3::hash(bytes).to_hex().to_string()
 }
+
+/// Checks that content is not longer than its kind may be.
+pub(super) fn check_length(what: &'static str, bytes: &[u8], limit: usize) -> Result<(), Error> {
+    let found = bytes.len();
+    ensure!(found <= limit, LengthSnafu { what, found, limit });
+    Ok(())
+}
--- a/crates/lentilshunt-core/src/config/mod.rs
+++ b/crates/lentilshunt-core/src/config/mod.rs
@@ -5,8 +5,10 @@
 //! topology and for each service, so that a change travels as the sections
 //! that differ.
 
-mod acceptance;
+pub mod acceptance;
+pub mod difference;
 mod head;
+mod limit;
 mod manifest;
 mod pattern;
 mod section;
@@ -14,15 +16,16 @@
 mod snapshot;
 mod source;
 mod topology;
+mod validation;
 
-pub use acceptance::{Acceptance, Step};
+pub use difference::Difference;
 pub use head::Head;
 pub use manifest::Manifest;
 pub use pattern::Pattern;
 pub use section::Section;
 pub use service::Service;
 pub use snapshot::Snapshot;
-pub use source::{Source, compile};
+pub use source::{Compiled, Source, Text, compile, inspect};
 pub use topology::Topology;
 
 use snafu::Snafu;
@@ -61,6 +64,40 @@
         /// Name of the section.
         name: String,
     },
+    /// The content is longer than its kind may be.
+    #[snafu(display("{what} has {found} bytes, more than {limit}"))]
+    Length {
+        /// What was to be read.
+        what: &'static str,
+        /// Length of the content in bytes.
+        found: usize,
+        /// Longest content in bytes.
+        limit: usize,
+    },
+    /// The content has another encoding than the canonical one.
+    #[snafu(display("the encoding of {what} is not canonical"))]
+    Canonical {
+        /// What was to be read.
+        what: &'static str,
+    },
+    /// There are more entries of a kind than are allowed.
+    #[snafu(display("{found} {what}, more than {limit}"))]
+    Count {
+        /// What was counted.
+        what: String,
+        /// Number of entries.
+        found: usize,
+        /// Largest number of entries.
+        limit: usize,
+    },
+    /// A name or a value is not of the form that it must have.
+    #[snafu(display("{what} {value:?} is invalid"))]
+    Value {
+        /// What the value stands for.
+        what: String,
+        /// The value.
+        value: String,
+    },
     /// The configuration refers to something that it does not contain.
     #[snafu(display("{from} refers to {to}, which does not exist"))]
     Reference {
--- a/crates/lentilshunt-core/src/config/pattern.rs
+++ b/crates/lentilshunt-core/src/config/pattern.rs
@@ -20,6 +20,24 @@
     pub fn matches(&self, method: &str, path: &str) -> bool {
         (self.method == "*" || self.method == method) && matches_path(&self.path, path)
     }
+
+    /// Returns whether some request is selected by both patterns.
+    #[must_use]
+    pub fn overlaps(&self, other: &Self) -> bool {
+        let any = self.method == "*" || other.method == "*";
+        (any || self.method == other.method) && overlaps_path(&self.path, &other.path)
+    }
+}
+
+fn overlaps_path(left: &str, right: &str) -> bool {
+    let (mut left, mut right) = (left.split('/'), right.split('/'));
+    loop {
+        match (left.next(), right.next()) {
+            (Some("**"), _) | (_, Some("**")) | (None, None) => return true,
+            (Some(left), Some(right)) if left == "*" || right == "*" || left == right => {}
+            _ => return false,
+        }
+    }
 }
 
 fn matches_path(pattern: &str, path: &str) -> bool {
--- a/crates/lentilshunt-core/src/config/service.rs
+++ b/crates/lentilshunt-core/src/config/service.rs
@@ -16,7 +16,7 @@
     pub connections: u32,
     /// Callers that may reach the service.
     pub callers: BTreeSet<CallerId>,
-    /// Requests that must not run twice.
+    /// Requests that must not run twice, in ascending order and each once.
     pub non_idempotent: Vec<Pattern>,
 }
 
--- a/crates/lentilshunt-core/src/config/snapshot.rs
+++ b/crates/lentilshunt-core/src/config/snapshot.rs
@@ -6,8 +6,8 @@
 use snafu::{OptionExt, ResultExt, ensure};
 
 use super::{
-    EncodingSnafu, Error, HashSnafu, Manifest, MissingSnafu, ReferenceSnafu, Section, Service,
-    Topology, UnknownSnafu,
+    CanonicalSnafu, EncodingSnafu, Error, HashSnafu, Manifest, MissingSnafu, Section, Service,
+    Topology, UnknownSnafu, limit::MAX_SECTION_BYTES, manifest::check_length, validation::validate,
 };
 use crate::id::ServiceId;
 
@@ -48,7 +48,7 @@
     /// # Errors
     ///
     /// Returns an error when a section is missing, of unknown kind, does not
-    /// have its hash or cannot be decoded, or when a reference names nothing.
+    /// have its hash or cannot be decoded, or when the whole is not valid.
     pub fn assemble(
         manifest: &Manifest,
         contents: &BTreeMap<String, Vec<u8>>,
@@ -57,6 +57,7 @@
         let mut topology = None;
         for (name, digest) in &manifest.sections {
             let content = contents.get(digest).context(MissingSnafu { name })?;
+            check_length("section", content, MAX_SECTION_BYTES)?;
             let found = super::manifest::hash(content);
             ensure!(
                 &found == digest,
@@ -83,22 +84,13 @@
         Ok(snapshot)
     }
 
-    /// Checks that every reference names something in the snapshot.
+    /// Checks names, values, counts and references of the whole snapshot.
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Reference`] for the first reference to nothing.
+    /// Returns an error for the first thing that is not valid.
     pub fn validate(&self) -> Result<(), Error> {
-        for (domain, region) in &self.topology.domains {
-            ensure!(
-                self.topology.regions.contains(region),
-                ReferenceSnafu {
-                    from: format!("failure domain {domain}"),
-                    to: format!("region {region}"),
-                }
-            );
-        }
-        Ok(())
+        validate(self)
     }
 }
 
@@ -107,6 +99,10 @@
     Section { name, content }
 }
 
-fn decode<T: DeserializeOwned>(content: &[u8]) -> Result<T, Error> {
-    rmp_serde::from_slice(content).context(EncodingSnafu { what: "section" })
+fn decode<T: DeserializeOwned + Serialize>(content: &[u8]) -> Result<T, Error> {
+    let what = "section";
+    let value: T = rmp_serde::from_slice(content).context(EncodingSnafu { what })?;
+    let canonical = encode(String::new(), &value).content == content;
+    ensure!(canonical, CanonicalSnafu { what });
+    Ok(value)
 }
--- a/crates/lentilshunt-core/src/config/source/compiler.rs
+++ b/crates/lentilshunt-core/src/config/source/compiler.rs
@@ -2,18 +2,22 @@
 
 use std::collections::BTreeMap;
 
-use ini::{Ini, Properties};
+use ini::Properties;
 use lentilshunt_schema::ini::{Problem, Problems};
 
-use super::{Source, item::Item};
-use crate::config::{Pattern, Service, Snapshot};
+use super::{
+    Compiled, Source,
+    item::Item,
+    parse::parse,
+    request::{Request, report_contradictions},
+};
+use crate::config::{
+    Service, Snapshot,
+    limit::{CONNECTIONS, MAX_NAME_BYTES, SLOTS, is_name},
+};
 
-/// Largest file, in bytes.
-const MAX_FILE_BYTES: usize = 4 * 1024 * 1024;
-/// Most slots of an upstream.
-const MAX_SLOTS: u32 = 10_000;
-/// Most connections of an upstream.
-const MAX_CONNECTIONS: u32 = 100_000;
+/// Most problems that are reported at once.
+const MAX_PROBLEMS: usize = 100;
 
 /// Kinds of sections and the keys of each.
 const KINDS: [(&str, &[&str]); 5] = [
@@ -28,7 +32,7 @@
 ///
 /// # Errors
 ///
-/// Returns every problem found, each with file, section, key, value and what
+/// Returns the problems found, each with file, section, key, value and what
 /// would be right. Nothing is returned of files with a problem.
 ///
 /// # Examples
@@ -43,23 +47,55 @@
 /// # Ok::<(), lentilshunt_schema::ini::Problems>(())
 /// ```
 pub fn compile(sources: &[Source<'_>]) -> Result<Snapshot, Problems> {
+    inspect(sources).map(|compiled| compiled.snapshot)
+}
+
+/// Compiles files and also returns what is allowed but looks like a mistake.
+///
+/// # Errors
+///
+/// Returns the same problems as [`compile`].
+pub fn inspect(sources: &[Source<'_>]) -> Result<Compiled, Problems> {
     let mut compiler = Compiler::default();
     for source in sources {
         compiler.file(source);
     }
     let snapshot = compiler.snapshot();
-    if compiler.problems.is_empty() {
-        Ok(snapshot)
-    } else {
-        Err(Problems(compiler.problems))
+    if compiler.problems.is_empty()
+        && let Err(error) = snapshot.validate()
+    {
+        let file = sources.first().map_or("", |source| source.name);
+        compiler
+            .problems
+            .push(Problem::new(file, error.to_string()));
     }
+    if !compiler.problems.is_empty() {
+        return Err(shorten(compiler.problems));
+    }
+    Ok(Compiled {
+        snapshot,
+        warnings: shorten(compiler.warnings),
+    })
+}
+
+fn shorten(mut problems: Vec<Problem>) -> Problems {
+    let more = problems.len().saturating_sub(MAX_PROBLEMS);
+    problems.truncate(MAX_PROBLEMS);
+    if let Some(last) = problems.last()
+        && more > 0
+    {
+        let message = format!("{more} more problems are not shown");
+        problems.push(Problem::new(&last.file, message));
+    }
+    Problems(problems)
 }
 
 #[derive(Debug, Default)]
 struct Compiler {
     /// Sections by kind and name.
-    items: BTreeMap<(String, String), Item>,
+    items: BTreeMap<(&'static str, String), Item>,
     problems: Vec<Problem>,
+    warnings: Vec<Problem>,
 }
 
 impl Compiler {
@@ -85,7 +121,7 @@
         };
         let (kind, name) = section.split_once(' ').unwrap_or((section, ""));
         let name = name.trim();
-        let Some((_, known)) = KINDS.iter().find(|(known, _)| *known == kind) else {
+        let Some((kind, known)) = KINDS.iter().find(|(known, _)| *known == kind) else {
             let kinds: Vec<&str> = KINDS.iter().map(|(kind, _)| *kind).collect();
             let message = format!("unknown section; known are {}", kinds.join(", "));
             self.problems
@@ -94,17 +130,18 @@
         };
         if !is_name(name) {
             let message = format!(
-                "must be [{kind} NAME], the name of lower-case letters, digits and hyphens"
+                "must be [{kind} NAME], the name of at most {MAX_NAME_BYTES} lower-case letters, \
+                 digits and hyphens"
             );
             self.problems
                 .push(Problem::new(file, message).section(section));
             return;
         }
         let item = Item::read(file, section, properties, known, &mut self.problems);
-        let key = (kind.to_owned(), name.to_owned());
-        if self.items.contains_key(&key) {
-            self.problems
-                .push(item.problem("this section stands twice; keep one"));
+        let key = (*kind, name.to_owned());
+        if let Some(first) = self.items.get(&key) {
+            let message = format!("this section stands already in {}; keep one", first.file());
+            self.problems.push(item.problem(message));
             return;
         }
         self.items.insert(key, item);
@@ -114,10 +151,9 @@
         let mut snapshot = Snapshot::default();
         let items = std::mem::take(&mut self.items);
         let of_kind = |wanted: &'static str| {
-            items
-                .iter()
-                .filter(move |((kind, _), _)| kind == wanted)
-                .map(|((_, name), item)| (name, item))
+            let items = items.iter();
+            let wanted = items.filter(move |((kind, _), _)| *kind == wanted);
+            wanted.map(|((_, name), item)| (name, item))
         };
         for (name, _) in of_kind("region") {
             snapshot.topology.regions.insert(name.clone());
@@ -131,9 +167,26 @@
         for (name, item) in of_kind("caller") {
             self.caller(&mut snapshot, name, item);
         }
-        let mut patterns = BTreeMap::new();
+        let mut requests = Vec::new();
         for (name, item) in of_kind("request") {
-            self.request(&mut snapshot, &mut patterns, name, item);
+            requests.extend(Request::read(name, item, &mut self.problems));
+        }
+        report_contradictions(&requests, &mut self.problems);
+        for request in requests {
+            self.request(&mut snapshot, request);
+        }
+        for (name, item) in of_kind("region") {
+            let mut regions = snapshot.topology.domains.values();
+            if !regions.any(|region| region == name) {
+                self.warnings
+                    .push(item.problem("this region has no failure domain"));
+            }
+        }
+        for (name, item) in of_kind("service") {
+            if snapshot.services[name].callers.is_empty() {
+                self.warnings
+                    .push(item.problem("no caller may reach this service"));
+            }
         }
         snapshot
     }
@@ -150,8 +203,15 @@
     }
 
     fn service(&mut self, snapshot: &mut Snapshot, name: &str, item: &Item) {
-        let slots = item.number("slots", 1..=MAX_SLOTS, &mut self.problems);
-        let connections = item.number("connections", 1..=MAX_CONNECTIONS, &mut self.problems);
+        let slots = item.number("slots", SLOTS, &mut self.problems);
+        let connections = item.number("connections", CONNECTIONS, &mut self.problems);
+        if let (Some(slots), Some(connections)) = (slots, connections)
+            && connections < slots
+        {
+            let message = format!("fewer connections than the {slots} slots leave slots unused");
+            let warning = item.problem(message).key("connections");
+            self.warnings.push(warning.value(&connections.to_string()));
+        }
         let service = Service {
             slots: slots.unwrap_or_default(),
             connections: connections.unwrap_or_default(),
@@ -161,98 +221,34 @@
     }
 
     fn caller(&mut self, snapshot: &mut Snapshot, name: &str, item: &Item) {
-        for service in item.list("services") {
-            match snapshot.services.get_mut(service) {
-                Some(found) => {
-                    found.callers.insert(name.to_owned());
-                }
-                None => self.problems.push(unknown(item, "services", service)),
+        let services = item.list("services", &mut self.problems);
+        if services.is_empty() {
+            self.warnings
+                .push(item.problem("this caller may reach no service"));
+        }
+        for service in services {
+            let Some(found) = snapshot.services.get_mut(service) else {
+                self.problems.push(unknown(item, "services", service));
+                continue;
+            };
+            if !found.callers.insert(name.to_owned()) {
+                let problem = item.problem(format!("{service} stands twice; keep one"));
+                self.problems.push(problem.key("services").value(service));
             }
         }
     }
 
-    fn request(
-        &mut self,
-        snapshot: &mut Snapshot,
-        patterns: &mut BTreeMap<(String, Pattern), (String, bool)>,
-        name: &str,
-        item: &Item,
-    ) {
-        let service = item.text("service", &mut self.problems);
-        let method = item.text("method", &mut self.problems);
-        let path = item.text("path", &mut self.problems);
-        let idempotent = item.text("idempotent", &mut self.problems);
-        let (Some(service), Some(method), Some(path), Some(idempotent)) =
-            (service, method, path, idempotent)
-        else {
+    fn request(&mut self, snapshot: &mut Snapshot, request: Request<'_>) {
+        let Some(service) = snapshot.services.get_mut(request.service) else {
+            let problem = unknown(request.item, "service", request.service);
+            self.problems.push(problem);
             return;
         };
-        let idempotent = match idempotent {
-            "yes" => true,
-            "no" => false,
-            other => {
-                let problem = item.problem("must be yes or no");
-                self.problems.push(problem.key("idempotent").value(other));
-                return;
-            }
-        };
-        if !is_method(method) {
-            let problem = item.problem("must be an HTTP method in upper case, or *");
-            self.problems.push(problem.key("method").value(method));
-        }
-        if !path.starts_with('/') {
-            let problem = item.problem("must start with /");
-            self.problems.push(problem.key("path").value(path));
-        }
-        let Some(found) = snapshot.services.get_mut(service) else {
-            self.problems.push(unknown(item, "service", service));
-            return;
-        };
-        let pattern = Pattern {
-            method: method.to_owned(),
-            path: path.to_owned(),
-        };
-        let key = (service.to_owned(), pattern.clone());
-        match patterns.get(&key) {
-            Some((other, other_idempotent)) if *other_idempotent != idempotent => {
-                let message = format!(
-                    "contradicts [request {other}], which names the same requests; keep one"
-                );
-                self.problems.push(item.problem(message).key("idempotent"));
-            }
-            Some((other, _)) => {
-                let message = format!("repeats [request {other}]; keep one");
-                self.problems.push(item.problem(message));
-            }
-            None => {
-                patterns.insert(key, (name.to_owned(), idempotent));
-            }
+        if !request.is_idempotent {
+            service.non_idempotent.push(request.pattern);
+            service.non_idempotent.sort();
         }
-        if !idempotent {
-            found.non_idempotent.push(pattern);
-        }
-    }
-}
-
-fn parse(source: &Source<'_>) -> Result<Ini, Problem> {
-    let name = source.name;
-    if source.bytes.len() > MAX_FILE_BYTES {
-        let length = source.bytes.len();
-        let message = format!("the file has {length} bytes; at most {MAX_FILE_BYTES} are read");
-        return Err(Problem::new(name, message));
-    }
-    let text = std::str::from_utf8(source.bytes).map_err(|error| {
-        let message = format!(
-            "the file is not UTF-8 text; the first wrong byte is at {}",
-            error.valid_up_to()
-        );
-        Problem::new(name, message)
-    })?;
-    if text.trim().is_empty() {
-        return Err(Problem::new(name, "the file is empty"));
     }
-    Ini::load_from_str_noescape(text)
-        .map_err(|error| Problem::new(name, format!("not an INI file: {error}")))
 }
 
 fn unknown(item: &Item, key: &str, value: &str) -> Problem {
@@ -260,12 +256,3 @@
         .key(key)
         .value(value)
 }
-
-fn is_name(name: &str) -> bool {
-    let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
-    !name.is_empty() && name.chars().all(allowed)
-}
-
-fn is_method(method: &str) -> bool {
-    method == "*" || (!method.is_empty() && method.chars().all(|c| c.is_ascii_uppercase()))
-}
--- a/crates/lentilshunt-core/src/config/source/item.rs
+++ b/crates/lentilshunt-core/src/config/source/item.rs
@@ -29,7 +29,11 @@
         };
         for (key, value) in properties {
             if !known.contains(&key) {
-                let message = format!("unknown key; known are {}", known.join(", "));
+                let message = if known.is_empty() {
+                    "unknown key; this section has no keys".to_owned()
+                } else {
+                    format!("unknown key; known are {}", known.join(", "))
+                };
                 problems.push(item.problem(message).key(key).value(value));
             } else if item.keys.contains_key(key) {
                 let message = "this key stands twice; keep one";
@@ -41,6 +45,11 @@
         item
     }
 
+    /// Returns the name of the file that the section stands in.
+    pub(super) fn file(&self) -> &str {
+        &self.file
+    }
+
     /// Creates a problem of this section.
     pub(super) fn problem(&self, message: impl Into<String>) -> Problem {
         Problem::new(&self.file, message).section(&self.section)
@@ -79,11 +88,30 @@
         }
     }
 
+    /// Returns whether the value of a key is `yes`, or reports what would be right.
+    pub(super) fn yes_or_no(&self, key: &str, problems: &mut Vec<Problem>) -> Option<bool> {
+        match self.text(key, problems)? {
+            "yes" => Some(true),
+            "no" => Some(false),
+            other => {
+                let problem = self.problem("must be yes or no");
+                problems.push(problem.key(key).value(other));
+                None
+            }
+        }
+    }
+
     /// Returns the names of a list separated by commas; a missing key is an empty list.
-    pub(super) fn list(&self, key: &str) -> impl Iterator<Item = &str> {
+    pub(super) fn list(&self, key: &str, problems: &mut Vec<Problem>) -> Vec<&str> {
         let text = self.keys.get(key).map_or("", String::as_str);
-        text.split(',')
-            .map(str::trim)
-            .filter(|name| !name.is_empty())
+        if text.is_empty() {
+            return Vec::new();
+        }
+        let names: Vec<&str> = text.split(',').map(str::trim).collect();
+        if names.contains(&"") {
+            let problem = self.problem("must be names separated by single commas");
+            problems.push(problem.key(key).value(text));
+        }
+        names.into_iter().filter(|name| !name.is_empty()).collect()
     }
 }
--- a/crates/lentilshunt-core/src/config/source/mod.rs
+++ b/crates/lentilshunt-core/src/config/source/mod.rs
@@ -2,8 +2,16 @@
 
 mod compiler;
 mod item;
+mod parse;
+mod request;
+mod writer;
 
-pub use compiler::compile;
+use lentilshunt_schema::ini::Problems;
+
+pub use compiler::{compile, inspect};
+pub use writer::Text;
+
+use super::Snapshot;
 
 /// One file of an inventory or of rules.
 #[derive(Clone, Copy, Debug)]
@@ -13,3 +21,12 @@
     /// Content of the file.
     pub bytes: &'a [u8],
 }
+
+/// A snapshot and what looks like a mistake in its files.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Compiled {
+    /// The snapshot.
+    pub snapshot: Snapshot,
+    /// What is allowed but looks like a mistake.
+    pub warnings: Problems,
+}
--- /dev/null
+++ b/crates/lentilshunt-core/src/config/source/request.rs
@@ -0,0 +1,87 @@
+//! Rules for requests and the contradictions between them.
+
+use std::collections::BTreeMap;
+
+use lentilshunt_schema::ini::Problem;
+
+use super::item::Item;
+use crate::config::{
+    Pattern,
+    limit::{MAX_PATTERNS, is_method, is_path},
+};
+
+/// A section `[request NAME]` with its checked keys.
+#[derive(Clone, Debug)]
+pub(super) struct Request<'a> {
+    pub(super) name: &'a str,
+    pub(super) item: &'a Item,
+    pub(super) service: &'a str,
+    pub(super) pattern: Pattern,
+    pub(super) is_idempotent: bool,
+}
+
+impl<'a> Request<'a> {
+    /// Reads a section, or reports what is wrong with its keys.
+    pub(super) fn read(name: &'a str, item: &'a Item, problems: &mut Vec<Problem>) -> Option<Self> {
+        let service = item.text("service", problems);
+        let method = item.text("method", problems);
+        let path = item.text("path", problems);
+        let is_idempotent = item.yes_or_no("idempotent", problems);
+        let (service, method, path) = (service?, method?, path?);
+        if !is_method(method) {
+            let problem = item.problem("must be an HTTP method in upper case, or *");
+            problems.push(problem.key("method").value(method));
+        }
+        if !is_path(path) {
+            let message = "must start with /, without white space, ? and #; \
+                           * stands for a whole segment, ** for the rest at the end";
+            problems.push(item.problem(message).key("path").value(path));
+        }
+        Some(Self {
+            name,
+            item,
+            service,
+            pattern: Pattern {
+                method: method.to_owned(),
+                path: path.to_owned(),
+            },
+            is_idempotent: is_idempotent?,
+        })
+    }
+
+    fn contradiction(&self, other: &Self) -> Option<Problem> {
+        let (name, service) = (other.name, self.service);
+        if self.pattern == other.pattern && self.is_idempotent == other.is_idempotent {
+            let message = format!("repeats [request {name}]; keep one");
+            return Some(self.item.problem(message));
+        }
+        if self.is_idempotent == other.is_idempotent || !self.pattern.overlaps(&other.pattern) {
+            return None;
+        }
+        let message = format!(
+            "contradicts [request {name}], which selects some of the same requests of {service} \
+             with the opposite; let their methods or paths differ"
+        );
+        let value = if self.is_idempotent { "yes" } else { "no" };
+        Some(self.item.problem(message).key("idempotent").value(value))
+    }
+}
+
+/// Reports every rule that repeats or contradicts an earlier one of its service.
+pub(super) fn report_contradictions(requests: &[Request<'_>], problems: &mut Vec<Problem>) {
+    let mut services: BTreeMap<&str, Vec<&Request<'_>>> = BTreeMap::new();
+    for request in requests {
+        let earlier = services.entry(request.service).or_default();
+        if earlier.len() >= MAX_PATTERNS {
+            let message = format!("a service may have at most {MAX_PATTERNS} rules for requests");
+            problems.push(request.item.problem(message));
+            return;
+        }
+        let mut found = earlier
+            .iter()
+            .filter_map(|other| request.contradiction(other));
+        problems.extend(found.next());
+        drop(found);
+        earlier.push(request);
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-node/src/admin/answer.rs
@@ -0,0 +1,75 @@
+//! What a node answers to operators.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Response, StatusCode};
+use lentilshunt_core::membership::Endpoint;
+use lentilshunt_net::http::{empty, whole};
+use lentilshunt_schema::operate::{Member, Members, Route, Routes, Status};
+use serde::Serialize;
+
+use crate::context::Context;
+
+/// Start of the paths at which a node answers operators.
+pub const OPERATE: &str = "/.lentilshunt/operate";
+
+/// Answers a question about the state of a node; nothing is changed.
+#[must_use]
+pub fn answer(context: &Context, question: &str) -> Response<Full<Bytes>> {
+    match question {
+        "/status" => json(&status(context)),
+        "/members" => json(&members(context)),
+        "/routes" => json(&routes(context)),
+        _ => empty(StatusCode::NOT_FOUND),
+    }
+}
+
+fn status(context: &Context) -> Status {
+    let place = &context.place;
+    Status {
+        instance: place.instance.clone(),
+        region: place.region.clone(),
+        domain: place.domain.clone(),
+        incarnation: context.incarnation,
+        version: context.routes.load().version(),
+    }
+}
+
+fn members(context: &Context) -> Members {
+    let view = context.members.load();
+    let endpoints = view.endpoints.iter();
+    Members {
+        members: endpoints.map(|endpoint| member(endpoint)).collect(),
+    }
+}
+
+fn routes(context: &Context) -> Routes {
+    let table = context.routes.load();
+    let routes = table.routes().map(|(service, route)| Route {
+        service: service.clone(),
+        callers: route.service.callers.iter().cloned().collect(),
+        endpoints: route.endpoints().map(|endpoint| member(endpoint)).collect(),
+    });
+    let mut routes: Vec<Route> = routes.collect();
+    routes.sort_by(|left, right| left.service.cmp(&right.service));
+    Routes {
+        version: table.version(),
+        routes,
+    }
+}
+
+fn member(endpoint: &Endpoint) -> Member {
+    Member {
+        instance: endpoint.instance.clone(),
+        address: endpoint.address.to_string(),
+        region: endpoint.region.clone(),
+        domain: endpoint.domain.clone(),
+        service: endpoint.service.clone(),
+        phase: endpoint.phase.to_string(),
+    }
+}
+
+fn json<T: Serialize>(value: &T) -> Response<Full<Bytes>> {
+    let body = serde_json::to_vec(value).expect("answers have an encoding");
+    whole(StatusCode::OK, body)
+}
--- a/crates/lentilshunt-node/src/context/mod.rs
+++ b/crates/lentilshunt-node/src/context/mod.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use lentilshunt_core::routing::{Place, Table};
+use lentilshunt_core::{
+    membership::View,
+    routing::{Place, Table},
+};
 use lentilshunt_net::{history::Writer, http::Pool};
 use lentilshunt_schema::settings;
 use slog::Logger;
@@ -20,6 +23,8 @@
     pub incarnation: u64,
     /// Routes in force.
     pub routes: ArcSwap<Table>,
+    /// Members known.
+    pub members: ArcSwap<View>,
     /// Connections to other nodes and to the own upstream.
     pub pool: Arc<Pool>,
     /// Cancelled when the node begins to stop.
--- a/crates/lentilshunt-node/src/control/mod.rs
+++ b/crates/lentilshunt-node/src/control/mod.rs
@@ -140,5 +140,6 @@
             &self.context.place,
         );
         self.context.routes.store(Arc::new(table));
+        self.context.members.store(Arc::clone(&self.view));
     }
 }
--- a/crates/lentilshunt-node/src/peer/handler.rs
+++ b/crates/lentilshunt-node/src/peer/handler.rs
@@ -19,7 +19,11 @@
 use tokio::sync::mpsc;
 
 use super::path;
-use crate::{context::Context, executor::Local};
+use crate::{
+    admin::{self, OPERATE},
+    context::Context,
+    executor::Local,
+};
 
 /// Bytes that the head of a call may add to its body.
 const HEAD_BYTES: usize = 64 * 1024;
@@ -57,7 +61,10 @@
             path::ANNOUNCE => self.announce(request.body()).await,
             path::RESOLVE => self.resolve(request.body()).await,
             called if called.starts_with(path::CALL) => self.call(&request).await,
-            _ => empty(StatusCode::NOT_FOUND),
+            other => match other.strip_prefix(OPERATE) {
+                Some(question) => admin::answer(&self.context, question),
+                None => empty(StatusCode::NOT_FOUND),
+            },
         }
     }
 
--- a/crates/lentilshunt-node/src/shell/mod.rs
+++ b/crates/lentilshunt-node/src/shell/mod.rs
@@ -105,6 +105,7 @@
         place,
         incarnation,
         routes: ArcSwap::default(),
+        members: ArcSwap::default(),
         pool: Arc::new(Pool::from_source(own_ip(&settings)?)),
         stop,
         history,
--- a/crates/lentilshunt-schema/src/ini/problem.rs
+++ b/crates/lentilshunt-schema/src/ini/problem.rs
@@ -2,8 +2,13 @@
 
 use std::fmt;
 
+use serde::Serialize;
+
+/// Most characters of a value that are shown.
+const MAX_VALUE_CHARACTERS: usize = 120;
+
 /// One thing that is wrong with a file.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct Problem {
     /// Name of the file.
     pub file: String,
@@ -42,10 +47,14 @@
         self
     }
 
-    /// Names the value.
+    /// Names the value, of which a long one is cut.
     #[must_use]
     pub fn value(mut self, value: &str) -> Self {
-        self.value = Some(value.to_owned());
+        let mut shown: String = value.chars().take(MAX_VALUE_CHARACTERS).collect();
+        if shown.len() < value.len() {
+            shown.push('…');
+        }
+        self.value = Some(shown);
         self
     }
 }
@@ -67,7 +76,7 @@
 }
 
 /// Everything that is wrong with one or several files.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct Problems(pub Vec<Problem>);
 
 impl fmt::Display for Problems {
--- a/crates/lentilshunt-schema/src/lib.rs
+++ b/crates/lentilshunt-schema/src/lib.rs
@@ -1,6 +1,7 @@
 //! Messages, settings and events of lentilshunt.
 //!
-//! The types of [`platform`], [`peer`], [`call`], [`history`] and [`settings`]
+//! The types of [`platform`], [`peer`], [`call`], [`history`], [`operate`]
+//! and [`settings`]
 //! are generated from the JSON Schema files in the `schema` folder by
 //! `cargo xtask generate` and committed, so that the build needs no generator.
 //!
@@ -13,4 +14,4 @@
 mod generated;
 pub mod ini;
 
-pub use generated::{call, history, peer, platform, settings};
+pub use generated::{call, history, operate, peer, platform, settings};
--- a/xtask/src/demo/mod.rs
+++ b/xtask/src/demo/mod.rs
@@ -166,6 +166,7 @@
             method: "DELETE".to_owned(),
             path: "/**".to_owned(),
         });
+        service.non_idempotent.sort();
     }
     changed
 }
