--- /dev/null
+++ b/crates/lentilshunt-core/tests/common/mod.rs
@@ -0,0 +1,3 @@
+//! Helpers that several test files share.
+
+pub mod platform;
--- /dev/null
+++ b/crates/lentilshunt-core/tests/common/platform.rs
@@ -0,0 +1,254 @@
+//! A platform in memory, and an acceptance that runs against it.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use lentilshunt_core::config::{
+    Head,
+    acceptance::{Action, Ending, Event, Machine, Proposal, Step},
+};
+use lentilshunt_schema::platform::{Expectation, Row, Transaction};
+use rand::{SeedableRng, rngs::StdRng};
+
+/// Time that a request takes to fail.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Requests after which an acceptance counts as endless.
+pub const MAX_REQUESTS: usize = 1000;
+
+/// Rows with serial transactions, and requests that are still under way.
+#[derive(Debug, Default)]
+pub struct Platform {
+    pub rows: BTreeMap<String, Row>,
+    pub late: Vec<Action>,
+    revision: u64,
+}
+
+impl Platform {
+    /// Applies the request of an action and returns the reply.
+    pub fn apply(&mut self, action: &Action) -> Event {
+        match action {
+            Action::Put { .. } => Event::Stored,
+            Action::Read { key } => Event::Row(self.rows.get(key).cloned()),
+            Action::Transact(transaction) => Event::Outcome {
+                committed: self.transact(transaction),
+            },
+            Action::Wait { .. } | Action::End(_) => Event::Timer,
+        }
+    }
+
+    /// Applies every request that is still under way.
+    pub fn deliver_late(&mut self) {
+        for action in std::mem::take(&mut self.late) {
+            self.apply(&action);
+        }
+    }
+
+    /// Accepts a version of another operator.
+    pub fn rival(&mut self) {
+        let head = self.head();
+        let proposal = Proposal {
+            operation: format!("rival/{}", head.version + 1),
+            base: head.version,
+            digest: "rival".to_owned(),
+        };
+        let row = self.rows.get(Head::KEY).cloned();
+        let step = proposal.step(row.as_ref()).expect("a head");
+        let Step::Transact(transaction) = step else {
+            panic!("a rival proposes after the head");
+        };
+        assert!(self.transact(&transaction), "a rival is not raced");
+    }
+
+    pub fn head(&self) -> Head {
+        let row = self.rows.get(Head::KEY);
+        row.map_or_else(Head::default, |row| {
+            Head::decode(&row.value).expect("a head")
+        })
+    }
+
+    /// Returns the history, after checking that it has no gap and ends at the head.
+    pub fn history(&self) -> Vec<Head> {
+        let rows = self.rows.range(Head::HISTORY.to_owned()..);
+        let rows = rows.take_while(|(key, _)| key.starts_with(Head::HISTORY));
+        let heads: Vec<Head> = rows
+            .map(|(_, row)| Head::decode(&row.value).expect("a head"))
+            .collect();
+        let versions: Vec<u64> = heads.iter().map(|head| head.version).collect();
+        let expected: Vec<u64> = (1..=heads.len() as u64).collect();
+        assert_eq!(versions, expected, "the history has no gap");
+        assert_eq!(heads.last().cloned().unwrap_or_default(), self.head());
+        heads
+    }
+
+    fn transact(&mut self, transaction: &Transaction) -> bool {
+        let committed = transaction.conditions.iter().all(|condition| {
+            let found = self.rows.get(&condition.key).map(|row| row.revision);
+            match condition.expectation {
+                Expectation::Absent => found.is_none(),
+                Expectation::Revision(revision) => found == Some(revision),
+            }
+        });
+        if committed {
+            self.revision += 1;
+            for write in &transaction.writes {
+                let row = Row {
+                    key: write.key.clone(),
+                    value: write.value.clone().unwrap_or_default(),
+                    revision: self.revision,
+                };
+                self.rows.insert(write.key.clone(), row);
+            }
+        }
+        committed
+    }
+}
+
+/// What becomes of one request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// The request takes effect and the reply arrives.
+    None,
+    /// The platform refuses the request without effect.
+    Refused,
+    /// The request is lost.
+    LostRequest,
+    /// The request takes effect and the reply is lost.
+    LostReply,
+    /// The request takes effect only after the requester has given it up.
+    Late,
+    /// Others accept versions before the request takes effect.
+    Overtaken,
+    /// The request takes effect, the reply is lost, others accept versions.
+    Followed,
+}
+
+impl Fault {
+    pub const ALL: [Self; 7] = [
+        Self::None,
+        Self::Refused,
+        Self::LostRequest,
+        Self::LostReply,
+        Self::Late,
+        Self::Overtaken,
+        Self::Followed,
+    ];
+}
+
+/// An operator's acceptance on its way.
+#[derive(Debug)]
+pub struct Operator {
+    pub proposal: Proposal,
+    machine: Machine,
+    action: Option<Action>,
+    now: Instant,
+    ending: Option<Ending>,
+}
+
+impl Operator {
+    pub fn start(name: &str, base: u64, timeout: Duration) -> Self {
+        let proposal = Proposal {
+            operation: name.to_owned(),
+            base,
+            digest: "content".to_owned(),
+        };
+        let now = Instant::now();
+        let objects = vec![b"manifest".to_vec(), b"topology".to_vec()];
+        let random = StdRng::seed_from_u64(7);
+        let (machine, action) =
+            Machine::start(proposal.clone(), objects, now + timeout, random, now);
+        Self {
+            proposal,
+            machine,
+            action: Some(action),
+            now,
+            ending: None,
+        }
+    }
+
+    pub fn ending(&self) -> Option<&Ending> {
+        self.ending.as_ref()
+    }
+
+    /// Waits if the acceptance wants to, then sends its next request.
+    ///
+    /// Returns whether there was a request.
+    pub fn step(&mut self, platform: &mut Platform, fault: Fault) -> bool {
+        let mut action = self.action.take();
+        while let Some(Action::Wait { until }) = action {
+            self.now = self.now.max(until);
+            action = Some(self.machine.handle(self.now, &Event::Timer));
+        }
+        match action {
+            None => false,
+            Some(Action::End(ending)) => {
+                self.ending = Some(ending);
+                false
+            }
+            Some(request) => {
+                let event = self.send(platform, request, fault);
+                self.action = Some(self.machine.handle(self.now, &event));
+                true
+            }
+        }
+    }
+
+    /// Sends requests without faults until the acceptance ends.
+    pub fn finish(&mut self, platform: &mut Platform) {
+        let mut requests = 0..MAX_REQUESTS;
+        while self.step(platform, Fault::None) {
+            assert!(requests.next().is_some(), "no end: {self:?}");
+        }
+    }
+
+    /// Checks the ending against what the platform holds.
+    pub fn check(&self, history: &[Head]) {
+        let own = |head: &&Head| head.operation == self.proposal.operation;
+        let found: Vec<&Head> = history.iter().filter(own).collect();
+        let expected = self.proposal.head();
+        assert!(found.is_empty() || found == [&expected], "{found:?}");
+        match &self.ending {
+            Some(Ending::Accepted(head)) => assert_eq!(found, [head]),
+            Some(Ending::Unsettled) | None => {}
+            Some(ending) => assert_eq!(found, [&Head::default(); 0], "{ending:?}"),
+        }
+    }
+
+    fn send(&mut self, platform: &mut Platform, request: Action, fault: Fault) -> Event {
+        let refused = Event::Failed {
+            may_have_taken_effect: false,
+        };
+        let lost = Event::Failed {
+            may_have_taken_effect: true,
+        };
+        if !matches!(fault, Fault::None | Fault::Overtaken) {
+            self.now += REQUEST_TIMEOUT;
+        }
+        match fault {
+            Fault::None => platform.apply(&request),
+            Fault::Refused => refused,
+            Fault::LostRequest => lost,
+            Fault::LostReply => {
+                platform.apply(&request);
+                lost
+            }
+            Fault::Late => {
+                platform.late.push(request);
+                lost
+            }
+            Fault::Overtaken => {
+                platform.rival();
+                platform.rival();
+                platform.apply(&request)
+            }
+            Fault::Followed => {
+                platform.apply(&request);
+                platform.rival();
+                platform.rival();
+                lost
+            }
+        }
+    }
+}
