test(cli): race operators against a platform that loses replies

Two and eight command processes race until each has accepted a version while the platform loses the replies of writes; the history that it holds is replayed against a register. Lost requests and replies of every write of an acceptance, a slow platform, one that comes up late, and an unsettled acceptance that the same operation id settles are tried too. The history check has eight histories of its own, six of which must fail.

--- /dev/null
+++ b/crates/lentilshunt-cli/tests/common/mod.rs
@@ -0,0 +1,4 @@
+//! A platform process, the operators' command, and the check of their history.
+
+pub mod history;
+pub mod platform;
