feat(ledger): remember what became of each non-idempotent request

The executing node keeps a bounded ledger of the requests that are not idempotent. Attempts are addressed to an incarnation of their node and carry a wall-clock deadline; another incarnation refuses them, so that a node that has restarted cannot report NotRun for what ran before. A question about an unseen request bars it, unless the request may have been forgotten. Running work goes on when its caller has gone and its answer is kept.

Executor::resolve takes the call in place of the request id, since the question must tell the deadline. Idempotent requests are not recorded: their outcome is MayHaveRun, which permits another attempt.

--- a/crates/lentilshunt-net/src/call/envelope.rs
+++ b/crates/lentilshunt-net/src/call/envelope.rs
@@ -1,15 +1,19 @@
 //! Calls and replies as HTTP messages between nodes.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use bytes::Bytes;
 use hyper::{
     HeaderMap, Request, Response,
     header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderName, TRANSFER_ENCODING},
 };
-use lentilshunt_core::verdict::{Reason, Verdict};
+use lentilshunt_core::{
+    id::Incarnation,
+    verdict::{Reason, Verdict},
+};
 
-use super::{Call, Name, Reply};
+use super::{Attempt, Call, Name, Reply};
+use crate::history::now_us;
 
 /// Headers that concern one connection and are not passed on.
 const HOP_HEADERS: [HeaderName; 4] = [CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING];
@@ -37,6 +41,41 @@
     Ok(request)
 }
 
+/// Writes an attempt as the request to one incarnation of its executing node.
+///
+/// # Errors
+///
+/// Returns an error when a part of the call is not valid in a header or path.
+pub fn write_attempt(
+    prefix: &str,
+    call: &Call,
+    incarnation: Incarnation,
+    now: Instant,
+) -> hyper::http::Result<Request<Bytes>> {
+    let remaining = call.deadline.saturating_duration_since(now);
+    let remaining_us = u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX);
+    let expires_us = now_us().saturating_add(remaining_us);
+    let mut request = write_call(prefix, call, now)?;
+    let headers = request.headers_mut();
+    headers.insert(Name::INCARNATION, incarnation.into());
+    headers.insert(Name::EXPIRES, expires_us.into());
+    Ok(request)
+}
+
+/// Reads an attempt from the request to its executing node.
+///
+/// Returns none when a header of lentilshunt is missing or malformed.
+#[must_use]
+pub fn read_attempt(prefix: &str, request: &Request<Bytes>, now: Instant) -> Option<Attempt> {
+    let headers = request.headers();
+    let expires_us = text(headers, Name::EXPIRES)?.parse().ok()?;
+    Some(Attempt {
+        incarnation: text(headers, Name::INCARNATION)?.parse().ok()?,
+        expires_at: SystemTime::UNIX_EPOCH.checked_add(Duration::from_micros(expires_us))?,
+        call: read_call(prefix, request, now)?,
+    })
+}
+
 /// Reads a call from the request to its executing node.
 ///
 /// Returns none when a header of lentilshunt is missing or malformed.
@@ -59,6 +98,30 @@
     })
 }
 
+/// Returns the milliseconds until a deadline, negative after it.
+#[must_use]
+pub fn remaining_ms(deadline: Instant, now: Instant) -> i64 {
+    let milliseconds = |time: Duration| i64::try_from(time.as_millis()).unwrap_or(i64::MAX);
+    if deadline >= now {
+        milliseconds(deadline - now)
+    } else {
+        -milliseconds(now - deadline)
+    }
+}
+
+/// Returns the deadline to which milliseconds remain, which may be negative.
+///
+/// Returns none for a deadline that this instance's clock cannot express.
+#[must_use]
+pub fn deadline(remaining_ms: i64, now: Instant) -> Option<Instant> {
+    let distance = Duration::from_millis(remaining_ms.unsigned_abs());
+    if remaining_ms >= 0 {
+        now.checked_add(distance)
+    } else {
+        now.checked_sub(distance)
+    }
+}
+
 /// Writes a reply as an HTTP response.
 #[must_use]
 pub fn write_reply(reply: Reply) -> Response<Bytes> {
--- a/crates/lentilshunt-net/src/call/executor.rs
+++ b/crates/lentilshunt-net/src/call/executor.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt::Debug, sync::Arc};
 
-use lentilshunt_core::{id::RequestId, membership::Endpoint};
+use lentilshunt_core::membership::Endpoint;
 use lentilshunt_schema::call::Resolution;
 
 use super::{Call, Reply};
@@ -16,14 +16,16 @@
     /// means that this attempt can no longer run on that endpoint.
     fn execute(&self, endpoint: Arc<Endpoint>, call: Arc<Call>) -> Pending<'_, Reply>;
 
-    /// Asks what became of a request whose outcome is unknown.
+    /// Asks what became of an attempt whose outcome is unknown.
     ///
-    /// An unseen request is barred by the question. The reply comes with
-    /// [`Resolution::Answered`] only. No resolution is returned when the
-    /// executing node cannot be asked.
+    /// `endpoint` is the one that the attempt was sent to, with its incarnation
+    /// of then. An unseen request is barred by the question. The reply comes
+    /// with [`Resolution::Answered`] only. A request that is idempotent, or was
+    /// sent to an earlier incarnation, may have run. No resolution is returned
+    /// when the executing node cannot be asked; the request may have run then.
     fn resolve(
         &self,
         endpoint: Arc<Endpoint>,
-        request: RequestId,
+        call: Arc<Call>,
     ) -> Pending<'_, Option<(Resolution, Option<Reply>)>>;
 }
--- a/crates/lentilshunt-net/src/call/header.rs
+++ b/crates/lentilshunt-net/src/call/header.rs
@@ -11,6 +11,10 @@
     pub const CALLER: &'static str = "lentilshunt-caller";
     /// Milliseconds that remain until the deadline of a request.
     pub const DEADLINE: &'static str = "lentilshunt-deadline-ms";
+    /// Wall-clock deadline in microseconds since the Unix epoch; between nodes only.
+    pub const EXPIRES: &'static str = "lentilshunt-expires-us";
+    /// Start of the node that an attempt is sent to; between nodes only.
+    pub const INCARNATION: &'static str = "lentilshunt-incarnation";
     /// Key by which a caller marks repeats of a request.
     pub const KEY: &'static str = "idempotency-key";
     /// Whether the request may run more than once; between nodes only.
--- a/crates/lentilshunt-net/src/call/mod.rs
+++ b/crates/lentilshunt-net/src/call/mod.rs
@@ -1,12 +1,17 @@
 //! A caller's request, its reply, and how both travel between nodes.
 
+mod attempt;
 mod envelope;
 mod executor;
 mod header;
 mod reply;
 mod request;
 
-pub use envelope::{end_to_end, read_call, read_reply, write_call, write_reply};
+pub use attempt::Attempt;
+pub use envelope::{
+    deadline, end_to_end, read_attempt, read_call, read_reply, remaining_ms, write_attempt,
+    write_call, write_reply,
+};
 pub use executor::Executor;
 pub use header::Name;
 pub use reply::Reply;
--- a/crates/lentilshunt-node/src/entry/remote.rs
+++ b/crates/lentilshunt-node/src/entry/remote.rs
@@ -7,10 +7,10 @@
 
 use bytes::Bytes;
 use hyper::{Method, Request, Uri};
-use lentilshunt_core::{id::RequestId, membership::Endpoint, verdict::Reason};
+use lentilshunt_core::{membership::Endpoint, verdict::Reason};
 use lentilshunt_net::{
     Pending,
-    call::{Call, Executor, Reply, read_reply, write_call},
+    call::{Call, Executor, Reply, read_reply, remaining_ms, write_attempt},
     http::Exchange,
 };
 use lentilshunt_schema::call::{Resolution, Resolve};
@@ -38,7 +38,9 @@
     }
 
     async fn send(&self, endpoint: &Endpoint, call: &Call) -> Reply {
-        let Ok(request) = write_call(path::CALL, call, Instant::now()) else {
+        let incarnation = endpoint.incarnation;
+        let now = Instant::now();
+        let Ok(request) = write_attempt(path::CALL, call, incarnation, now) else {
             return Reply::refused(Reason::BadRequest);
         };
         let exchange = Exchange {
@@ -54,12 +56,16 @@
         }
     }
 
-    async fn ask(
-        &self,
-        endpoint: &Endpoint,
-        request: RequestId,
-    ) -> Option<(Resolution, Option<Reply>)> {
-        let resolve = Resolve { request };
+    async fn ask(&self, endpoint: &Endpoint, call: &Call) -> Option<(Resolution, Option<Reply>)> {
+        if call.idempotent {
+            return Some((Resolution::MayHaveRun, None));
+        }
+        let resolve = Resolve {
+            request: call.request.clone(),
+            incarnation: endpoint.incarnation,
+            remaining_ms: remaining_ms(call.deadline, Instant::now()),
+            bar: true,
+        };
         let body = rmp_serde::to_vec_named(&resolve).ok()?;
         let mut request = Request::new(Bytes::from(body));
         *request.method_mut() = Method::POST;
@@ -84,8 +90,8 @@
     fn resolve(
         &self,
         endpoint: Arc<Endpoint>,
-        request: RequestId,
+        call: Arc<Call>,
     ) -> Pending<'_, Option<(Resolution, Option<Reply>)>> {
-        Box::pin(async move { self.ask(&endpoint, request).await })
+        Box::pin(async move { self.ask(&endpoint, &call).await })
     }
 }
--- /dev/null
+++ b/crates/lentilshunt-node/src/executor/attempt.rs
@@ -0,0 +1,64 @@
+//! One guarded attempt on the own upstream.
+
+use std::{sync::Mutex, time::Instant};
+
+use lentilshunt_core::{
+    execution::Ledger,
+    verdict::{Reason, Verdict},
+};
+use lentilshunt_net::call::Reply;
+
+use super::locked;
+
+/// An accepted request of the ledger, closed when it is finished or dropped.
+#[derive(Debug)]
+pub(super) struct Attempt<'a> {
+    ledger: &'a Mutex<Ledger<Reply>>,
+    request: &'a str,
+}
+
+impl<'a> Attempt<'a> {
+    /// Takes charge of a request that the ledger has accepted.
+    pub(super) fn new(ledger: &'a Mutex<Ledger<Reply>>, request: &'a str) -> Self {
+        Self { ledger, request }
+    }
+
+    /// Marks the request as running.
+    pub(super) fn start(&self, now: Instant) -> Result<(), Reason> {
+        locked(self.ledger).start(now, self.request)
+    }
+
+    /// Records the outcome of the request.
+    pub(super) fn finish(self, reply: Reply) -> Reply {
+        let mut ledger = locked(self.ledger);
+        match reply.verdict {
+            Verdict::NotRun => ledger.refuse(self.request),
+            Verdict::MayHaveRun => ledger.lose(self.request),
+            Verdict::Ran => {
+                let bytes = reply.body.len() + headers_bytes(&reply);
+                ledger.answer(self.request, reply.clone(), bytes);
+            }
+        }
+        drop(ledger);
+        reply
+    }
+
+    /// Bars the request, which has not run.
+    pub(super) fn refuse(self, reason: Reason) -> Reply {
+        self.finish(Reply::refused(reason))
+    }
+}
+
+impl Drop for Attempt<'_> {
+    fn drop(&mut self) {
+        locked(self.ledger).lose(self.request);
+    }
+}
+
+fn headers_bytes(reply: &Reply) -> usize {
+    reply
+        .headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum()
+}
--- a/crates/lentilshunt-node/src/executor/local.rs
+++ b/crates/lentilshunt-node/src/executor/local.rs
@@ -1,148 +1,130 @@
-//! Guards the own upstream and executes attempts on it.
+//! The executor of the own node.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
-    },
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Instant};
 
-use arc_swap::ArcSwapOption;
-use bytes::Bytes;
-use hyper::{Request, Response};
 use lentilshunt_core::{
-    id::RequestId,
-    membership::Endpoint,
-    verdict::{Reason, Verdict},
+    execution::Resolution, id::Incarnation, membership::Endpoint, verdict::Reason,
 };
 use lentilshunt_net::{
     Pending,
-    call::{Call, Executor, Reply, end_to_end, write_call},
-    http::Exchange,
-};
-use lentilshunt_schema::{
-    call::Resolution,
-    peer::{Announcement, Phase},
+    call::{Call, Executor, Reply},
 };
+use lentilshunt_schema::{call, peer::Announcement};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use super::Upstream;
+use super::{Backend, Pooled, Runner};
 use crate::context::Context;
 
-/// Time for which an announcement counts.
-const ANNOUNCEMENT_LIFETIME: Duration = Duration::from_millis(1200);
-
 /// Executes attempts on the upstream of this instance.
+///
+/// A request that is not idempotent goes on when its caller has gone, and its
+/// answer is kept for those who ask what became of it.
 #[derive(Debug)]
 pub struct Local {
     context: Arc<Context>,
-    upstream: ArcSwapOption<Upstream>,
-    running: AtomicU32,
-}
-
-/// Counts a running attempt until it is dropped.
-struct Running<'a>(&'a AtomicU32);
-
-impl Drop for Running<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
+    runner: Arc<Runner>,
+    running: TaskTracker,
 }
 
 impl Local {
     /// Creates an executor that has not heard of its upstream.
     #[must_use]
     pub fn new(context: Arc<Context>) -> Self {
+        let limit = usize::try_from(context.settings.calls.body_bytes).unwrap_or(usize::MAX);
+        let pooled = Pooled::new(Arc::clone(&context.pool), limit);
+        Self::with_backend(context, Arc::new(pooled))
+    }
+
+    /// Creates an executor that reaches its upstream through `backend`.
+    #[must_use]
+    pub fn with_backend(context: Arc<Context>, backend: Arc<dyn Backend>) -> Self {
+        let runner = Arc::new(Runner::new(Arc::clone(&context), backend));
         Self {
             context,
-            upstream: ArcSwapOption::empty(),
-            running: AtomicU32::new(0),
+            runner,
+            running: TaskTracker::new(),
         }
     }
 
     /// Takes an announcement of the upstream.
     pub fn announce(&self, announcement: &Announcement) {
-        let Ok(address) = announcement.address.parse() else {
-            return;
-        };
-        self.upstream.store(Some(Arc::new(Upstream {
-            address,
-            phase: announcement.phase,
-            slots: announcement.slots,
-            expires_at: Instant::now() + ANNOUNCEMENT_LIFETIME,
-        })));
+        self.runner.announce(announcement);
     }
 
-    async fn run(&self, call: &Call) -> Reply {
-        let upstream = match self.admit() {
-            Ok(upstream) => upstream,
-            Err(reason) => return Reply::refused(reason),
-        };
-        self.running.fetch_add(1, Ordering::Relaxed);
-        let _running = Running(&self.running);
-        let Ok(request) = request(call) else {
-            return Reply::refused(Reason::BadRequest);
-        };
-        let exchange = Exchange {
-            address: upstream.address,
-            deadline: call.deadline,
-            limit: usize::try_from(self.context.settings.calls.body_bytes).unwrap_or(usize::MAX),
-        };
-        match self.context.pool.exchange(exchange, request).await {
-            Ok(response) => ran(response),
-            Err(error) => Reply::failed(error.verdict(), error.reason()),
+    /// Tells what became of a request, and bars it if it has not been seen.
+    #[must_use]
+    pub fn resolve(
+        &self,
+        request: &str,
+        incarnation: Incarnation,
+        deadline: Instant,
+    ) -> Resolution<Reply> {
+        if incarnation != self.context.incarnation {
+            return Resolution::MayHaveRun;
         }
+        self.runner.resolve(request, deadline)
     }
 
-    fn admit(&self) -> Result<Arc<Upstream>, Reason> {
-        if self.context.stop.is_cancelled() {
-            return Err(Reason::Draining);
+    /// Tells what became of a request that was accepted here before.
+    #[must_use]
+    pub fn recall(&self, request: &str, incarnation: Incarnation) -> Resolution<Reply> {
+        if incarnation != self.context.incarnation {
+            return Resolution::MayHaveRun;
         }
-        let upstream = self.upstream.load_full().ok_or(Reason::NotReady)?;
-        if upstream.expires_at < Instant::now() {
-            return Err(Reason::NotReady);
+        self.runner.recall(request)
+    }
+
+    /// Waits until no accepted request is left.
+    pub async fn drained(&self) {
+        self.running.close();
+        self.running.wait().await;
+        self.running.reopen();
+    }
+
+    async fn run(&self, endpoint: &Endpoint, call: Arc<Call>) -> Reply {
+        if endpoint.incarnation != self.context.incarnation {
+            return Reply::refused(Reason::NotReady);
         }
-        match upstream.phase {
-            Phase::Ready => {}
-            Phase::Draining => return Err(Reason::Draining),
-            Phase::Starting | Phase::Gone => return Err(Reason::NotReady),
+        if call.idempotent {
+            return self.runner.run(&call).await;
         }
-        let room = upstream.slots + self.context.settings.calls.queue;
-        if self.running.load(Ordering::Relaxed) >= room {
-            return Err(Reason::QueueFull);
+        let gone = CancellationToken::new();
+        let _cancels = gone.clone().drop_guard();
+        let runner = Arc::clone(&self.runner);
+        let run = async move { runner.run_once(call, gone).await };
+        match self.running.spawn(run).await {
+            Ok(reply) => reply,
+            Err(_panicked) => Reply::unknown(Reason::BadAnswer),
         }
-        Ok(upstream)
     }
 }
 
 impl Executor for Local {
-    fn execute(&self, _endpoint: Arc<Endpoint>, call: Arc<Call>) -> Pending<'_, Reply> {
-        Box::pin(async move { self.run(&call).await })
+    fn execute(&self, endpoint: Arc<Endpoint>, call: Arc<Call>) -> Pending<'_, Reply> {
+        Box::pin(async move { self.run(&endpoint, call).await })
     }
 
     fn resolve(
         &self,
-        _endpoint: Arc<Endpoint>,
-        _request: RequestId,
-    ) -> Pending<'_, Option<(Resolution, Option<Reply>)>> {
-        Box::pin(async move { None })
+        endpoint: Arc<Endpoint>,
+        call: Arc<Call>,
+    ) -> Pending<'_, Option<(call::Resolution, Option<Reply>)>> {
+        Box::pin(async move {
+            if call.idempotent {
+                return Some((call::Resolution::MayHaveRun, None));
+            }
+            let resolution = self.resolve(&call.request, endpoint.incarnation, call.deadline);
+            Some(split(resolution))
+        })
     }
 }
 
-/// Returns the request as the upstream gets it.
-fn request(call: &Call) -> hyper::http::Result<Request<Bytes>> {
-    write_call("", call, Instant::now())
-}
-
-/// Returns the reply to an attempt that the upstream answered whole.
-fn ran(response: Response<Bytes>) -> Reply {
-    let (parts, body) = response.into_parts();
-    Reply {
-        verdict: Verdict::Ran,
-        reason: None,
-        status: parts.status,
-        headers: end_to_end(&parts.headers),
-        body,
-        room: None,
+/// Returns a resolution as it travels, with the answer beside it.
+pub(crate) fn split(resolution: Resolution<Reply>) -> (call::Resolution, Option<Reply>) {
+    match resolution {
+        Resolution::Barred => (call::Resolution::Barred, None),
+        Resolution::Running => (call::Resolution::Running, None),
+        Resolution::Answered(reply) => (call::Resolution::Answered, Some(reply)),
+        Resolution::MayHaveRun => (call::Resolution::MayHaveRun, None),
     }
 }
--- a/crates/lentilshunt-node/src/peer/handler.rs
+++ b/crates/lentilshunt-node/src/peer/handler.rs
@@ -1,25 +1,36 @@
 //! Answers other nodes and the own upstream.
 
-use std::{net::SocketAddr, sync::Arc, time::Instant};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Instant, SystemTime},
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use lentilshunt_core::{
     dissemination::Event,
+    id::Incarnation,
     membership::{Endpoint, Phase},
     verdict::Reason,
 };
 use lentilshunt_net::{
     Pending,
-    call::{Executor, Reply, read_call, write_reply},
+    call::{Attempt, Executor, Reply, deadline, read_attempt, write_reply},
     http::{Handler, empty},
 };
-use lentilshunt_schema::{call::Resolve, peer::Announcement};
+use lentilshunt_schema::{
+    call::{Resolution, Resolve},
+    peer::Announcement,
+};
 use tokio::sync::mpsc;
 
 use super::path;
-use crate::{context::Context, executor::Local};
+use crate::{
+    context::Context,
+    executor::{Local, split},
+};
 
 /// Bytes that the head of a call may add to its body.
 const HEAD_BYTES: usize = 64 * 1024;
@@ -55,7 +66,7 @@
         let request = Request::from_parts(parts, body.to_bytes());
         match request.uri().path() {
             path::ANNOUNCE => self.announce(request.body()).await,
-            path::RESOLVE => self.resolve(request.body()).await,
+            path::RESOLVE => self.resolve(request.body()),
             called if called.starts_with(path::CALL) => self.call(&request).await,
             _ => empty(StatusCode::NOT_FOUND),
         }
@@ -74,20 +85,43 @@
     }
 
     async fn call(&self, request: &Request<Bytes>) -> Response<Full<Bytes>> {
-        let reply = match read_call(path::CALL, request, Instant::now()) {
-            Some(call) => self.local.execute(self.own(), Arc::new(call)).await,
+        let reply = match read_attempt(path::CALL, request, Instant::now()) {
+            Some(attempt) => self.execute(attempt).await,
             None => Reply::refused(Reason::BadRequest),
         };
         write_reply(reply).map(Full::new)
     }
 
-    async fn resolve(&self, body: &[u8]) -> Response<Full<Bytes>> {
+    async fn execute(&self, attempt: Attempt) -> Reply {
+        if attempt.is_late(SystemTime::now()) {
+            return Reply::refused(Reason::Deadline);
+        }
+        let endpoint = self.endpoint(attempt.incarnation);
+        self.local.execute(endpoint, Arc::new(attempt.call)).await
+    }
+
+    fn settle(&self, question: &Resolve) -> Option<(Resolution, Option<Reply>)> {
+        let Resolve {
+            request,
+            incarnation,
+            remaining_ms,
+            bar,
+        } = question;
+        let resolution = if *bar {
+            let deadline = deadline(*remaining_ms, Instant::now())?;
+            self.local.resolve(request, *incarnation, deadline)
+        } else {
+            self.local.recall(request, *incarnation)
+        };
+        Some(split(resolution))
+    }
+
+    fn resolve(&self, body: &[u8]) -> Response<Full<Bytes>> {
         let Ok(resolve) = rmp_serde::from_slice::<Resolve>(body) else {
             return empty(StatusCode::BAD_REQUEST);
         };
-        let resolved = self.local.resolve(self.own(), resolve.request).await;
-        let Some((resolution, reply)) = resolved else {
-            return empty(StatusCode::NOT_FOUND);
+        let Some((resolution, reply)) = self.settle(&resolve) else {
+            return empty(StatusCode::BAD_REQUEST);
         };
         let mut response = match reply {
             Some(reply) => write_reply(reply).map(Full::new),
@@ -100,8 +134,8 @@
         response
     }
 
-    /// Returns the own endpoint, as the executor's border wants it.
-    fn own(&self) -> Arc<Endpoint> {
+    /// Returns an incarnation of the own endpoint, as the executor's border wants it.
+    fn endpoint(&self, incarnation: Incarnation) -> Arc<Endpoint> {
         let settings = &self.context.settings;
         let address: SocketAddr = settings
             .listen
@@ -114,7 +148,7 @@
             address,
             region: place.region.clone(),
             domain: place.domain.clone(),
-            incarnation: self.context.incarnation,
+            incarnation,
             service: String::new(),
             phase: Phase::Ready,
             slots: 0,
