feat(claim): claim an idempotency key before its request runs

The executing node writes a row that names itself, its incarnation and the request id; bids of one node share transactions. A key that is taken is settled by asking its holder: the kept answer is returned, a running request is waited for, a barred one is taken over by its revision, and anything else may have run. A claim is no lease: no pause of its holder makes it void.

Slots and a queue by deadline replace the plain count: a request that cannot be answered in time by the observed run times is refused at once.

--- /dev/null
+++ b/crates/lentilshunt-core/src/admission/queue.rs
@@ -0,0 +1,76 @@
+//! Requests that wait for a slot.
+
+use std::{collections::BTreeMap, time::Instant};
+
+/// Place of a request in a [`Queue`].
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Ticket {
+    deadline: Instant,
+    number: u64,
+}
+
+/// Waiting requests in the order of their deadlines, then of their arrival.
+#[derive(Debug)]
+pub struct Queue<T> {
+    waiting: BTreeMap<Ticket, T>,
+    capacity: usize,
+    number: u64,
+}
+
+impl<T> Queue<T> {
+    /// Creates a queue for at most `capacity` requests.
+    #[must_use]
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            waiting: BTreeMap::new(),
+            capacity,
+            number: 0,
+        }
+    }
+
+    /// Returns the number of waiting requests.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns whether no request waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Returns how many requests are served before one with this deadline.
+    #[must_use]
+    pub fn ahead_of(&self, deadline: Instant) -> usize {
+        let behind = Ticket {
+            deadline,
+            number: u64::MAX,
+        };
+        self.waiting.range(..behind).count()
+    }
+
+    /// Adds a request; returns none when the queue is full.
+    pub fn push(&mut self, deadline: Instant, request: T) -> Option<Ticket> {
+        if self.waiting.len() >= self.capacity {
+            return None;
+        }
+        self.number += 1;
+        let ticket = Ticket {
+            deadline,
+            number: self.number,
+        };
+        self.waiting.insert(ticket, request);
+        Some(ticket)
+    }
+
+    /// Takes the request with the earliest deadline.
+    pub fn pop(&mut self) -> Option<T> {
+        self.waiting.pop_first().map(|(_, request)| request)
+    }
+
+    /// Takes out a request that no longer waits; returns none when it was served.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<T> {
+        self.waiting.remove(&ticket)
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-core/src/claim/batch.rs
@@ -0,0 +1,93 @@
+//! Bids that are written by one transaction.
+
+use std::collections::HashMap;
+
+use lentilshunt_schema::platform::{Outcome, Row, Transaction};
+
+use super::{Bid, Settlement};
+
+/// Bids for different keys, each with what its owner needs to hear of it.
+#[derive(Debug)]
+pub struct Batch<T> {
+    bids: Vec<(Bid, T)>,
+}
+
+/// Bids that a transaction settled, and those to be written again.
+#[derive(Debug)]
+pub struct Settled<T> {
+    /// Outcomes.
+    pub done: Vec<(T, Settlement)>,
+    /// Bids that nothing stood against.
+    pub again: Vec<(Bid, T)>,
+}
+
+impl<T> Batch<T> {
+    /// Takes up to `limit` bids from the front of `waiting`, one for each key.
+    ///
+    /// A second bid for a key stays in `waiting`, in its order.
+    #[must_use]
+    pub fn take(waiting: &mut Vec<(Bid, T)>, limit: usize) -> Self {
+        let mut keys = std::collections::HashSet::new();
+        let (bids, left): (Vec<_>, Vec<_>) = waiting
+            .drain(..)
+            .partition(|(bid, _)| keys.len() < limit && keys.insert(bid.key.clone()));
+        *waiting = left;
+        Self { bids }
+    }
+
+    /// Returns the number of bids.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.bids.len()
+    }
+
+    /// Returns whether there is no bid.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.bids.is_empty()
+    }
+
+    /// Returns the transaction that writes all bids or none.
+    #[must_use]
+    pub fn transaction(&self) -> Transaction {
+        Transaction {
+            conditions: self.bids.iter().map(|(bid, _)| bid.condition()).collect(),
+            writes: self.bids.iter().map(|(bid, _)| bid.write()).collect(),
+        }
+    }
+
+    /// Settles the bids by the outcome of their transaction.
+    ///
+    /// When rows stand against some bids, only those are settled; the others
+    /// were not written on their account and are to be written again.
+    #[must_use]
+    pub fn settle(self, outcome: &Outcome) -> Settled<T> {
+        let rows: HashMap<&str, &Row> = outcome
+            .rows
+            .iter()
+            .map(|row| (row.key.as_str(), row))
+            .collect();
+        let mut settled = Settled {
+            done: Vec::new(),
+            again: Vec::new(),
+        };
+        for (bid, owner) in self.bids {
+            let settlement = if outcome.committed {
+                Some(Settlement::Won)
+            } else {
+                bid.settle(rows.get(bid.key.as_str()).copied())
+            };
+            match settlement {
+                Some(settlement) => settled.done.push((owner, settlement)),
+                None => settled.again.push((bid, owner)),
+            }
+        }
+        settled
+    }
+
+    /// Gives the bids back, when the outcome of their transaction is not known.
+    #[must_use]
+    pub fn into_bids(self) -> Vec<(Bid, T)> {
+        self.bids
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-core/src/claim/key.rs
@@ -0,0 +1,28 @@
+//! Keys of rows and fingerprints of requests.
+
+use crate::id::Digest;
+
+/// Start of the keys of all claims.
+pub const PREFIX: &str = "claim/";
+
+/// Returns the key of the row for an idempotency key of a service.
+#[must_use]
+pub fn row_key(service: &str, key: &str) -> String {
+    format!("{PREFIX}{}", digest(&[service.as_bytes(), key.as_bytes()]))
+}
+
+/// Returns a hash over the parts that a repeat has in common with its request.
+#[must_use]
+pub fn fingerprint(caller: &str, method: &str, path: &str, body: &[u8]) -> Digest {
+    digest(&[caller.as_bytes(), method.as_bytes(), path.as_bytes(), body])
+}
+
+/// Returns the hash of parts, each preceded by its length.
+fn digest(parts: &[&[u8]]) -> Digest {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.finalize().to_hex().to_string()
+}
--- a/crates/lentilshunt-core/src/execution/entry.rs
+++ b/crates/lentilshunt-core/src/execution/entry.rs
@@ -20,6 +20,8 @@
 pub(super) enum State<A> {
     /// The request waits for its claim or for a slot.
     Accepted,
+    /// The request waits for the outcome of an earlier request of its key.
+    Deferred,
     /// The request has been sent to the upstream, or is about to be.
     Running,
     /// The request ran.
@@ -40,6 +42,9 @@
 impl<A> Entry<A> {
     /// Returns whether the request waits or runs.
     pub(super) fn is_open(&self) -> bool {
-        matches!(self.state, State::Accepted | State::Running)
+        matches!(
+            self.state,
+            State::Accepted | State::Deferred | State::Running
+        )
     }
 }
--- a/crates/lentilshunt-core/src/execution/ledger.rs
+++ b/crates/lentilshunt-core/src/execution/ledger.rs
@@ -164,6 +164,35 @@
         self.close(request, State::Lost);
     }
 
+    /// Ends an open request that nobody works on any more.
+    ///
+    /// It is barred if it has not started; else its outcome is not known.
+    pub fn abandon(&mut self, request: &str) {
+        match self.entries.get(request).map(|entry| &entry.state) {
+            Some(State::Accepted) => self.refuse(request),
+            _ => self.lose(request),
+        }
+    }
+
+    /// Marks an accepted request as one that an earlier request of its key may
+    /// have run for; it does not start before [`Ledger::resume`].
+    pub fn defer(&mut self, request: &str) {
+        if let Some(entry) = self.entries.get_mut(request)
+            && matches!(entry.state, State::Accepted)
+        {
+            entry.state = State::Deferred;
+        }
+    }
+
+    /// Marks a deferred request as accepted again, when the earlier one is barred.
+    pub fn resume(&mut self, request: &str) {
+        if let Some(entry) = self.entries.get_mut(request)
+            && matches!(entry.state, State::Deferred)
+        {
+            entry.state = State::Accepted;
+        }
+    }
+
     /// Tells what became of a request, and bars it if it has not been seen.
     ///
     /// An unseen request is not barred when its deadline passed more than
@@ -191,7 +220,7 @@
     #[must_use]
     pub fn recall(&self, request: &str) -> Resolution<A> {
         match self.entries.get(request).map(|entry| &entry.state) {
-            Some(State::Accepted | State::Running) => Resolution::Running,
+            Some(State::Accepted | State::Deferred | State::Running) => Resolution::Running,
             Some(State::Answered { answer, .. }) => Resolution::Answered(answer.clone()),
             Some(State::Barred) => Resolution::Barred,
             Some(State::Lost) | None => Resolution::MayHaveRun,
--- a/crates/lentilshunt-node/src/executor/attempt.rs
+++ b/crates/lentilshunt-node/src/executor/attempt.rs
@@ -28,6 +28,16 @@
         locked(self.ledger).start(now, self.request)
     }
 
+    /// Marks that an earlier request of its key may have run.
+    pub(super) fn defer(&self) {
+        locked(self.ledger).defer(self.request);
+    }
+
+    /// Marks that the earlier request of its key can no longer run.
+    pub(super) fn resume(&self) {
+        locked(self.ledger).resume(self.request);
+    }
+
     /// Records the outcome of the request.
     pub(super) fn finish(self, reply: Reply) -> Reply {
         let mut ledger = locked(self.ledger);
@@ -43,6 +53,12 @@
         reply
     }
 
+    /// Ends the request when nobody waits for its reply.
+    pub(super) fn abandon(self) -> Reply {
+        drop(self);
+        Reply::unknown(Reason::ConnectionLost)
+    }
+
     /// Bars the request, which has not run.
     pub(super) fn refuse(self, reason: Reason) -> Reply {
         self.finish(Reply::refused(reason))
@@ -51,7 +67,7 @@
 
 impl Drop for Attempt<'_> {
     fn drop(&mut self) {
-        locked(self.ledger).lose(self.request);
+        locked(self.ledger).abandon(self.request);
     }
 }
 
--- /dev/null
+++ b/crates/lentilshunt-node/src/executor/gate.rs
@@ -0,0 +1,168 @@
+//! Lets requests to the own upstream, one for each slot.
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Instant,
+};
+
+use lentilshunt_core::{
+    admission::{Estimate, Queue, Slots, Ticket},
+    verdict::Reason,
+};
+use tokio::{sync::oneshot, time::timeout_at};
+
+use super::{locked, now};
+
+/// Slots of the upstream and the requests that wait for them.
+#[derive(Debug)]
+pub(super) struct Gate {
+    slots: Slots,
+    estimate: Estimate,
+    /// Length of the queue, readable without its lock.
+    waiting: AtomicU32,
+    queue: Mutex<Queue<oneshot::Sender<Slot>>>,
+}
+
+/// A taken slot; it is given back when it is dropped.
+#[derive(Debug)]
+pub(super) struct Slot {
+    gate: Arc<Gate>,
+}
+
+/// A place in the queue; it is left when it is dropped.
+struct Place<'a> {
+    gate: &'a Gate,
+    ticket: Ticket,
+}
+
+impl Gate {
+    /// Creates a gate without slots.
+    pub(super) fn new(capacity: u32) -> Self {
+        Self {
+            slots: Slots::default(),
+            estimate: Estimate::default(),
+            waiting: AtomicU32::new(0),
+            queue: Mutex::new(Queue::new(capacity as usize)),
+        }
+    }
+
+    /// Sets how many requests run at a time.
+    pub(super) fn resize(self: &Arc<Self>, limit: u32) {
+        self.slots.resize(limit);
+        self.serve();
+    }
+
+    /// Returns the free slots that no request waits for.
+    pub(super) fn room(&self) -> u32 {
+        let waiting = self.waiting.load(Ordering::SeqCst);
+        self.slots.free().saturating_sub(waiting)
+    }
+
+    /// Takes the run time of an answered request.
+    pub(super) fn observe(&self, started_at: Instant) {
+        self.estimate.observe(now() - started_at);
+    }
+
+    /// Refuses a request that could not be answered by its deadline.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Reason::QueueFull`] or [`Reason::Deadline`].
+    pub(super) fn check(&self, deadline: Instant) -> Result<(), Reason> {
+        if self.room() > 0 {
+            return Ok(());
+        }
+        let queue = locked(&self.queue);
+        let ahead = u32::try_from(queue.ahead_of(deadline)).unwrap_or(u32::MAX);
+        drop(queue);
+        self.in_time(ahead, deadline)
+    }
+
+    /// Waits for a slot; dropping the future leaves the queue.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Reason::QueueFull`], or [`Reason::Deadline`] when the deadline
+    /// passes or is not expected to be met.
+    pub(super) async fn enter(self: &Arc<Self>, deadline: Instant) -> Result<Slot, Reason> {
+        if self.waiting.load(Ordering::SeqCst) == 0
+            && let Some(slot) = self.take()
+        {
+            return Ok(slot);
+        }
+        let (sender, granted) = oneshot::channel();
+        let ticket = self.wait(deadline, sender)?;
+        let _place = Place { gate: self, ticket };
+        // A slot may have come free between the first look and the wait.
+        self.serve();
+        match timeout_at(deadline.into(), granted).await {
+            Ok(Ok(slot)) => Ok(slot),
+            Ok(Err(_)) | Err(_) => Err(Reason::Deadline),
+        }
+    }
+
+    fn wait(&self, deadline: Instant, sender: oneshot::Sender<Slot>) -> Result<Ticket, Reason> {
+        let mut queue = locked(&self.queue);
+        let ahead = u32::try_from(queue.ahead_of(deadline)).unwrap_or(u32::MAX);
+        self.in_time(ahead, deadline)?;
+        let ticket = queue.push(deadline, sender).ok_or(Reason::QueueFull)?;
+        self.waiting.fetch_add(1, Ordering::SeqCst);
+        Ok(ticket)
+    }
+
+    fn in_time(&self, ahead: u32, deadline: Instant) -> Result<(), Reason> {
+        let answered_at = self.estimate.answered_at(now(), ahead, self.slots.limit());
+        if answered_at > deadline {
+            return Err(Reason::Deadline);
+        }
+        Ok(())
+    }
+
+    fn take(self: &Arc<Self>) -> Option<Slot> {
+        self.slots.take().then(|| Slot {
+            gate: Arc::clone(self),
+        })
+    }
+
+    /// Hands free slots to those that wait.
+    fn serve(self: &Arc<Self>) {
+        while self.waiting.load(Ordering::SeqCst) > 0 {
+            let Some(slot) = self.take() else {
+                return;
+            };
+            let Some(sender) = self.next() else {
+                // The last one left; a slot dropped here is offered again.
+                drop(slot);
+                continue;
+            };
+            // A receiver that has gone gives the slot back by dropping it.
+            drop(sender.send(slot));
+        }
+    }
+
+    fn next(&self) -> Option<oneshot::Sender<Slot>> {
+        let mut queue = locked(&self.queue);
+        let sender = queue.pop()?;
+        self.waiting.fetch_sub(1, Ordering::SeqCst);
+        Some(sender)
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.gate.slots.give_back();
+        self.gate.serve();
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let mut queue = locked(&self.gate.queue);
+        if queue.remove(self.ticket).is_some() {
+            self.gate.waiting.fetch_sub(1, Ordering::SeqCst);
+        }
+    }
+}
--- a/crates/lentilshunt-node/src/executor/local.rs
+++ b/crates/lentilshunt-node/src/executor/local.rs
@@ -12,7 +12,7 @@
 use lentilshunt_schema::{call, peer::Announcement};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use super::{Backend, Pooled, Runner};
+use super::{Backend, Claimant, Pooled, Runner};
 use crate::context::Context;
 
 /// Executes attempts on the upstream of this instance.
@@ -28,17 +28,23 @@
 
 impl Local {
     /// Creates an executor that has not heard of its upstream.
+    ///
+    /// Without a claimant, requests with an idempotency key are refused.
     #[must_use]
-    pub fn new(context: Arc<Context>) -> Self {
+    pub fn new(context: Arc<Context>, claimant: Option<Claimant>) -> Self {
         let limit = usize::try_from(context.settings.calls.body_bytes).unwrap_or(usize::MAX);
         let pooled = Pooled::new(Arc::clone(&context.pool), limit);
-        Self::with_backend(context, Arc::new(pooled))
+        Self::with_backend(context, claimant, Arc::new(pooled))
     }
 
     /// Creates an executor that reaches its upstream through `backend`.
     #[must_use]
-    pub fn with_backend(context: Arc<Context>, backend: Arc<dyn Backend>) -> Self {
-        let runner = Arc::new(Runner::new(Arc::clone(&context), backend));
+    pub fn with_backend(
+        context: Arc<Context>,
+        claimant: Option<Claimant>,
+        backend: Arc<dyn Backend>,
+    ) -> Self {
+        let runner = Arc::new(Runner::new(Arc::clone(&context), backend, claimant));
         Self {
             context,
             runner,
@@ -86,7 +92,7 @@
             return Reply::refused(Reason::NotReady);
         }
         if call.idempotent {
-            return self.runner.run(&call).await;
+            return self.runner.run(call).await;
         }
         let gone = CancellationToken::new();
         let _cancels = gone.clone().drop_guard();
@@ -101,7 +107,13 @@
 
 impl Executor for Local {
     fn execute(&self, endpoint: Arc<Endpoint>, call: Arc<Call>) -> Pending<'_, Reply> {
-        Box::pin(async move { self.run(&endpoint, call).await })
+        Box::pin(async move {
+            let reply = self.run(&endpoint, call).await;
+            Reply {
+                room: Some(self.runner.room()),
+                ..reply
+            }
+        })
     }
 
     fn resolve(
--- a/crates/lentilshunt-node/src/executor/mod.rs
+++ b/crates/lentilshunt-node/src/executor/mod.rs
@@ -2,6 +2,8 @@
 
 mod attempt;
 mod backend;
+mod claims;
+mod gate;
 mod local;
 mod pooled;
 mod runner;
@@ -13,6 +15,7 @@
 };
 
 pub use backend::Backend;
+pub use claims::{Asker, Claimant, Plan, Wire};
 pub use local::Local;
 pub(crate) use local::split;
 pub use pooled::Pooled;
--- a/crates/lentilshunt-node/src/executor/runner.rs
+++ b/crates/lentilshunt-node/src/executor/runner.rs
@@ -1,55 +1,63 @@
 //! Runs requests on the own upstream.
 
 use std::{
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU32, Ordering},
-    },
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwapOption;
 use lentilshunt_core::{
+    claim::{Bid, Holder, Settlement, Step, judge},
     execution::{Ledger, Limits, Resolution},
-    verdict::Reason,
+    id::IdempotencyKey,
+    verdict::{Reason, Verdict},
 };
 use lentilshunt_net::call::{Call, Reply};
 use lentilshunt_schema::peer::{Announcement, Phase};
 use tokio_util::sync::CancellationToken;
 
-use super::{Backend, Upstream, attempt::Attempt, locked, now};
+use super::{
+    Backend, Upstream,
+    attempt::Attempt,
+    claims::Claimant,
+    gate::{Gate, Slot},
+    locked, now,
+};
 use crate::context::Context;
 
 /// Time for which an announcement counts.
 const ANNOUNCEMENT_LIFETIME: Duration = Duration::from_millis(1200);
 
+/// Pause before a holder that runs its request is asked again, at first.
+const FIRST_PAUSE: Duration = Duration::from_millis(5);
+/// Longest pause before a holder is asked again.
+const LONGEST_PAUSE: Duration = Duration::from_millis(100);
+
 /// Decides which requests run on the upstream, and runs them.
 #[derive(Debug)]
 pub(super) struct Runner {
     context: Arc<Context>,
     backend: Arc<dyn Backend>,
+    claimant: Option<Claimant>,
     upstream: ArcSwapOption<Upstream>,
     ledger: Mutex<Ledger<Reply>>,
-    running: AtomicU32,
-}
-
-/// Counts a running request until it is dropped.
-struct Running<'a>(&'a AtomicU32);
-
-impl Drop for Running<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
+    gate: Arc<Gate>,
 }
 
 impl Runner {
-    pub(super) fn new(context: Arc<Context>, backend: Arc<dyn Backend>) -> Self {
+    pub(super) fn new(
+        context: Arc<Context>,
+        backend: Arc<dyn Backend>,
+        claimant: Option<Claimant>,
+    ) -> Self {
+        let gate = Gate::new(context.settings.calls.queue);
         Self {
             context,
             backend,
+            claimant,
             upstream: ArcSwapOption::empty(),
             ledger: Mutex::new(Ledger::new(Limits::default())),
-            running: AtomicU32::new(0),
+            gate: Arc::new(gate),
         }
     }
 
@@ -60,9 +68,10 @@
         self.upstream.store(Some(Arc::new(Upstream {
             address,
             phase: announcement.phase,
-            slots: announcement.slots,
             expires_at: now() + ANNOUNCEMENT_LIFETIME,
         })));
+        let slots = announcement.slots.min(announcement.connections);
+        self.gate.resize(slots);
     }
 
     pub(super) fn resolve(&self, request: &str, deadline: Instant) -> Resolution<Reply> {
@@ -73,15 +82,17 @@
         locked(&self.ledger).recall(request)
     }
 
+    /// Returns the free slots that no request waits for.
+    pub(super) fn room(&self) -> u32 {
+        self.gate.room()
+    }
+
     /// Runs an idempotent request; dropping the future cancels it.
-    pub(super) async fn run(&self, call: &Arc<Call>) -> Reply {
-        let upstream = match self.admit() {
-            Ok(upstream) => upstream,
-            Err(reason) => return Reply::refused(reason),
-        };
-        self.running.fetch_add(1, Ordering::Relaxed);
-        let _running = Running(&self.running);
-        self.backend.send(upstream.address, Arc::clone(call)).await
+    pub(super) async fn run(&self, call: Arc<Call>) -> Reply {
+        match self.admit(call.deadline).await {
+            Ok((slot, upstream)) => self.send(&slot, &upstream, call).await,
+            Err(reason) => Reply::refused(reason),
+        }
     }
 
     /// Runs a request at most once.
@@ -95,22 +106,115 @@
             return self.seen(&call.request, reason);
         }
         let attempt = Attempt::new(&self.ledger, &call.request);
-        let upstream = match self.admit() {
-            Ok(upstream) => upstream,
-            Err(reason) => return attempt.refuse(reason),
+        let prepared = tokio::select! {
+            prepared = self.prepare(&call, &attempt) => prepared,
+            () = gone.cancelled() => return attempt.abandon(),
+        };
+        let (slot, upstream) = match prepared {
+            Ok(prepared) => prepared,
+            Err(reply) => return attempt.finish(reply),
         };
-        if gone.is_cancelled() {
-            return attempt.refuse(Reason::ConnectionLost);
-        }
-        self.running.fetch_add(1, Ordering::Relaxed);
-        let _running = Running(&self.running);
         if let Err(reason) = attempt.start(now()) {
             return attempt.refuse(reason);
         }
-        let reply = self.backend.send(upstream.address, Arc::clone(&call)).await;
+        let reply = self.send(&slot, &upstream, Arc::clone(&call)).await;
         attempt.finish(reply)
     }
 
+    /// Claims the key of a request, if it has one, and waits for a slot.
+    async fn prepare(
+        &self,
+        call: &Call,
+        attempt: &Attempt<'_>,
+    ) -> Result<(Slot, Arc<Upstream>), Reply> {
+        self.ready().map_err(Reply::refused)?;
+        if let Some(key) = &call.key {
+            self.gate.check(call.deadline).map_err(Reply::refused)?;
+            self.claim(call, key, attempt).await?;
+        }
+        self.enter(call.deadline).await.map_err(Reply::refused)
+    }
+
+    /// Claims a key, or returns the reply to a request that must not run here.
+    async fn claim(
+        &self,
+        call: &Call,
+        key: &IdempotencyKey,
+        attempt: &Attempt<'_>,
+    ) -> Result<(), Reply> {
+        let Some(claimant) = &self.claimant else {
+            return Err(Reply::refused(Reason::ClaimUnavailable));
+        };
+        let mut bid = claimant.bid(call, key);
+        loop {
+            match claimant.make(bid.clone(), call).await {
+                Some(Settlement::Won) => return Ok(()),
+                Some(Settlement::Gone) => bid.replaces = None,
+                Some(Settlement::Taken(holder)) => {
+                    attempt.defer();
+                    bid = self.settle(claimant, bid, &holder, call.deadline).await?;
+                    attempt.resume();
+                }
+                Some(Settlement::Unreadable) => return Err(Reply::unknown(Reason::Duplicate)),
+                None => return Err(Reply::refused(Reason::ClaimUnavailable)),
+            }
+        }
+    }
+
+    /// Waits for the outcome of the request that holds a claim.
+    ///
+    /// Returns the bid that takes the claim over, or the reply of the holder.
+    async fn settle(
+        &self,
+        claimant: &Claimant,
+        bid: Bid,
+        holder: &Holder,
+        deadline: Instant,
+    ) -> Result<Bid, Reply> {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let resolution = if claimant.is_own(&holder.claim) {
+                Some(self.recall(&holder.claim.request))
+            } else {
+                claimant.asker().ask(holder.claim.clone()).await
+            };
+            match judge(&bid, holder, resolution) {
+                Step::TakeOver(bid) => return Ok(bid),
+                Step::Answer(reply) => return Err(reply),
+                Step::Refuse => return Err(Reply::refused(Reason::Duplicate)),
+                Step::Wait if now() + pause < deadline => {
+                    tokio::time::sleep(pause).await;
+                    pause = LONGEST_PAUSE.min(pause * 2);
+                }
+                Step::Wait | Step::MayHaveRun => return Err(Reply::unknown(Reason::Duplicate)),
+            }
+        }
+    }
+
+    async fn admit(&self, deadline: Instant) -> Result<(Slot, Arc<Upstream>), Reason> {
+        self.ready()?;
+        self.enter(deadline).await
+    }
+
+    /// Waits for a slot of an upstream that may be draining by now.
+    async fn enter(&self, deadline: Instant) -> Result<(Slot, Arc<Upstream>), Reason> {
+        let slot = self.gate.enter(deadline).await?;
+        let upstream = self.alive()?;
+        if deadline <= now() {
+            return Err(Reason::Deadline);
+        }
+        Ok((slot, upstream))
+    }
+
+    async fn send(&self, _slot: &Slot, upstream: &Upstream, call: Arc<Call>) -> Reply {
+        let started_at = now();
+        let reply = self.backend.send(upstream.address, call).await;
+        if reply.verdict == Verdict::Ran {
+            self.gate.observe(started_at);
+        }
+        reply
+    }
+
     /// Returns the reply to an attempt that the ledger did not accept.
     fn seen(&self, request: &str, reason: Reason) -> Reply {
         if reason != Reason::Duplicate {
@@ -123,23 +227,24 @@
         }
     }
 
-    fn admit(&self) -> Result<Arc<Upstream>, Reason> {
+    /// Refuses new requests unless node and upstream take them.
+    fn ready(&self) -> Result<(), Reason> {
         if self.context.stop.is_cancelled() {
             return Err(Reason::Draining);
         }
-        let upstream = self.upstream.load_full().ok_or(Reason::NotReady)?;
-        if upstream.expires_at < now() {
-            return Err(Reason::NotReady);
+        match self.alive()?.phase {
+            Phase::Draining => Err(Reason::Draining),
+            _ => Ok(()),
         }
+    }
+
+    /// Returns the upstream if it can run requests that were admitted before.
+    fn alive(&self) -> Result<Arc<Upstream>, Reason> {
+        let upstream = self.upstream.load_full().ok_or(Reason::NotReady)?;
+        let is_silent = upstream.expires_at < now();
         match upstream.phase {
-            Phase::Ready => {}
-            Phase::Draining => return Err(Reason::Draining),
-            Phase::Starting | Phase::Gone => return Err(Reason::NotReady),
-        }
-        let room = upstream.slots + self.context.settings.calls.queue;
-        if self.running.load(Ordering::Relaxed) >= room {
-            return Err(Reason::QueueFull);
+            Phase::Ready | Phase::Draining if !is_silent => Ok(upstream),
+            _ => Err(Reason::NotReady),
         }
-        Ok(upstream)
     }
 }
--- a/crates/lentilshunt-node/src/executor/upstream.rs
+++ b/crates/lentilshunt-node/src/executor/upstream.rs
@@ -11,8 +11,6 @@
     pub address: SocketAddr,
     /// Phase that it announced.
     pub phase: Phase,
-    /// Requests that it runs at a time.
-    pub slots: u32,
     /// Instant after which the announcement no longer counts.
     pub expires_at: Instant,
 }
--- a/crates/lentilshunt-node/src/peer/mod.rs
+++ b/crates/lentilshunt-node/src/peer/mod.rs
@@ -2,5 +2,6 @@
 
 mod handler;
 pub mod path;
+pub mod question;
 
 pub use handler::Peer;
--- /dev/null
+++ b/crates/lentilshunt-node/src/peer/question.rs
@@ -0,0 +1,38 @@
+//! Asks other nodes what became of a request.
+
+use std::{net::SocketAddr, time::Instant};
+
+use bytes::Bytes;
+use hyper::{Method, Request, Uri};
+use lentilshunt_net::{
+    call::{Reply, read_reply},
+    http::{Exchange, Pool},
+};
+use lentilshunt_schema::call::{Resolution, Resolve};
+
+use super::path;
+
+/// Sends a question and returns the resolution with the answer that came with it.
+///
+/// Returns none when the node does not answer by the deadline.
+pub async fn ask(
+    pool: &Pool,
+    address: SocketAddr,
+    question: &Resolve,
+    deadline: Instant,
+    limit: usize,
+) -> Option<(Resolution, Option<Reply>)> {
+    let body = rmp_serde::to_vec_named(question).ok()?;
+    let mut request = Request::new(Bytes::from(body));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = Uri::from_static(path::RESOLVE);
+    let exchange = Exchange {
+        address,
+        deadline,
+        limit,
+    };
+    let response = pool.exchange(exchange, request).await.ok()?;
+    let resolution = response.headers().get(path::RESOLUTION)?.to_str().ok()?;
+    let resolution: Resolution = resolution.parse().ok()?;
+    Some((resolution, read_reply(response)))
+}
--- a/crates/lentilshunt-node/src/shell/mod.rs
+++ b/crates/lentilshunt-node/src/shell/mod.rs
@@ -29,7 +29,7 @@
     context::Context,
     control::Control,
     entry::{Entry, Remote},
-    executor::Local,
+    executor::{Claimant, Local, Plan, Wire},
     peer::Peer,
 };
 
@@ -49,7 +49,8 @@
     let context = Arc::new(context(settings, log, stop)?);
     context.history.write(event(Kind::Started));
     let (events, received) = mpsc::channel(QUEUE_EVENTS);
-    let local = Arc::new(Local::new(Arc::clone(&context)));
+    let claimant = claimant(&context)?;
+    let local = Arc::new(Local::new(Arc::clone(&context), Some(claimant)));
     let remote = Arc::new(Remote::new(Arc::clone(&context)));
     let control = control(&context, events.clone())?;
     let peer = Peer::new(Arc::clone(&context), Arc::clone(&local), events.clone());
@@ -113,19 +114,43 @@
     })
 }
 
-fn control(context: &Arc<Context>, events: mpsc::Sender<Event>) -> io::Result<Control> {
+/// Creates the claimant of idempotency keys.
+fn claimant(context: &Context) -> io::Result<Claimant> {
     let settings = &context.settings;
-    let address = address(&settings.platform.address)?;
+    let source = own_ip(settings)?;
     let timeout = Duration::from_millis(settings.platform.timeout_ms.get());
-    let pool = Pool::from_source(own_ip(settings)?);
-    let client = Arc::new(platform::Client::new(address, timeout).with_pool(pool));
+    let pool = Pool::from_source(source);
+    let client =
+        platform::Client::new(address(&settings.platform.address)?, timeout).with_pool(pool);
+    let limit = usize::try_from(settings.calls.body_bytes).unwrap_or(usize::MAX);
+    Ok(Claimant::start(
+        context.place.instance.clone(),
+        advertised(settings).to_owned(),
+        context.incarnation,
+        Arc::new(client),
+        Arc::new(Wire::new(source, limit)),
+        Plan::default(),
+    ))
+}
+
+/// Returns the address at which other nodes reach this one.
+fn advertised(settings: &settings::Node) -> &str {
     let listen = &settings.listen;
-    let advertised = if listen.advertise.is_empty() {
+    if listen.advertise.is_empty() {
         &listen.peers
     } else {
         &listen.advertise
-    };
-    let owner = Owner::new(&context.place, advertised.clone(), context.incarnation);
+    }
+}
+
+fn control(context: &Arc<Context>, events: mpsc::Sender<Event>) -> io::Result<Control> {
+    let settings = &context.settings;
+    let address = address(&settings.platform.address)?;
+    let timeout = Duration::from_millis(settings.platform.timeout_ms.get());
+    let pool = Pool::from_source(own_ip(settings)?);
+    let client = Arc::new(platform::Client::new(address, timeout).with_pool(pool));
+    let advertised = advertised(settings).to_owned();
+    let owner = Owner::new(&context.place, advertised, context.incarnation);
     let random = StdRng::seed_from_u64(context.incarnation);
     let strategy = Box::new(Poll::new(owner, random, Instant::now()));
     let table = Arc::clone(&client);
