feat(load): judge a history by every promise

An attempt of a call has its own id, so that a reply of not-run is held against a run that begins later, and a resend against the attempts before it.

--- /dev/null
+++ b/crates/lentilshunt-load/src/check/drain.rs
@@ -0,0 +1,48 @@
+//! Checks that an upstream which is leaving receives no new work.
+
+use std::collections::BTreeMap;
+
+use lentilshunt_schema::history::{Event, Kind};
+
+use super::{Promise, Violation};
+
+/// Time after the begin of a drain from which on no run may begin, in microseconds.
+const NOTICE_US: u64 = 2_000_000;
+/// Time for which a request may wait at the upstream before its run begins, in microseconds.
+const QUEUE_US: u64 = 500_000;
+
+/// Returns a violation for each run that began too late in a drain.
+#[must_use]
+pub fn judge(history: &[Event]) -> Vec<Violation> {
+    let mut draining: BTreeMap<(&str, Option<u64>), u64> = BTreeMap::new();
+    let mut violations = Vec::new();
+    for event in history {
+        let process = (event.process.as_str(), event.incarnation);
+        match (event.kind, event.detail.as_deref()) {
+            (Kind::Phase, Some("draining")) => {
+                draining.entry(process).or_insert(event.at_us);
+            }
+            (Kind::Phase, _) => {
+                draining.remove(&process);
+            }
+            (Kind::RunBegun, _) => {
+                let Some(begun_us) = draining.get(&process) else {
+                    continue;
+                };
+                let elapsed_us = event.at_us.saturating_sub(*begun_us);
+                if elapsed_us > NOTICE_US + QUEUE_US {
+                    let key = event.key.as_deref().unwrap_or("a request");
+                    let detail = format!("{key} began {elapsed_us} us into the drain");
+                    violations.push(Violation::new(
+                        Promise::Drain,
+                        event.at_us,
+                        &event.process,
+                        detail,
+                    ));
+                }
+            }
+            _ => {}
+        }
+    }
+    violations
+}
--- a/crates/lentilshunt-load/src/check/runs.rs
+++ b/crates/lentilshunt-load/src/check/runs.rs
@@ -1,79 +1,166 @@
 //! Compares what callers were told with what ran.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use lentilshunt_schema::history::{Event, Kind};
 
+use super::{Promise, Violation};
+
 /// Counts of calls by how they ended, and of broken promises.
+///
+/// A call is all attempts with one idempotency key.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Runs {
     /// Calls that callers sent.
     pub sent: u64,
     /// Calls that were answered with the answer of an upstream.
     pub answered: u64,
-    /// Calls whose callers were told that they were not run.
+    /// Calls whose callers were told for every attempt that it was not run.
     pub refused_not_run: u64,
     /// Calls whose callers were told that they may have run, or were told nothing.
     pub may_have_run: u64,
-    /// Calls that were answered although nothing ran, or with another body.
+    /// Attempts that were answered although nothing ran, or with another body.
     pub lost: u64,
     /// Non-idempotent calls that ran more than once.
     pub duplicated: u64,
-    /// Calls that ran although their callers were told that they were not run.
+    /// Attempts that ran although their callers were told that they were not run.
     pub false_not_run: u64,
+    /// Every broken promise.
+    pub violations: Vec<Violation>,
+}
+
+/// All events of one call.
+#[derive(Debug, Default)]
+struct Call<'a> {
+    sent: Vec<&'a Event>,
+    replied: Vec<&'a Event>,
+    begun: Vec<&'a Event>,
 }
 
 impl Runs {
     /// Judges a history.
     #[must_use]
     pub fn judge(history: &[Event]) -> Self {
-        let mut runs: BTreeMap<&str, u64> = BTreeMap::new();
-        for event in history {
-            if let (Kind::RunBegun, Some(key)) = (event.kind, &event.key) {
-                *runs.entry(key).or_default() += 1;
-            }
-        }
-        let mut result = Self::default();
-        let mut unanswered: BTreeSet<&str> = BTreeSet::new();
+        let mut calls: BTreeMap<&str, Call<'_>> = BTreeMap::new();
         for event in history {
             let Some(key) = event.key.as_deref() else {
                 continue;
             };
-            let count = runs.get(key).copied().unwrap_or_default();
             match event.kind {
-                Kind::Sent => {
-                    result.sent += 1;
-                    unanswered.insert(key);
-                    if event.idempotent == Some(false) && count > 1 {
-                        result.duplicated += 1;
-                    }
-                }
-                Kind::Replied => {
-                    unanswered.remove(key);
-                    result.replied(event, count);
-                }
+                Kind::Sent => calls.entry(key).or_default().sent.push(event),
+                Kind::Replied => calls.entry(key).or_default().replied.push(event),
+                Kind::RunBegun => calls.entry(key).or_default().begun.push(event),
                 _ => {}
             }
         }
-        result.may_have_run += unanswered.len() as u64;
+        let mut result = Self::default();
+        for (key, call) in &calls {
+            result.count(call);
+            result.judge_call(key, call);
+        }
         result
     }
 
-    fn replied(&mut self, event: &Event, runs: u64) {
-        match event.verdict.as_deref() {
-            Some("ran") => {
-                self.answered += 1;
-                if runs == 0 || event.digest != event.expected {
-                    self.lost += 1;
-                }
-            }
-            Some("not-run") => {
-                self.refused_not_run += 1;
-                if runs > 0 {
-                    self.false_not_run += 1;
-                }
+    fn count(&mut self, call: &Call<'_>) {
+        if call.sent.is_empty() {
+            return;
+        }
+        self.sent += 1;
+        let told = |verdict| move |event: &&Event| event.verdict.as_deref() == Some(verdict);
+        let not_run = call.replied.iter().copied().filter(told("not-run")).count();
+        if call
+            .replied
+            .iter()
+            .copied()
+            .any(|event| told("ran")(&event))
+        {
+            self.answered += 1;
+        } else if not_run == call.sent.len() {
+            self.refused_not_run += 1;
+        } else {
+            self.may_have_run += 1;
+        }
+    }
+
+    fn judge_call(&mut self, key: &str, call: &Call<'_>) {
+        for replied in &call.replied {
+            match replied.verdict.as_deref() {
+                Some("ran") => self.judge_answer(key, call, replied),
+                Some("not-run") => self.judge_not_run(key, call, replied),
+                _ => {}
             }
-            _ => self.may_have_run += 1,
         }
+        if !call.is_idempotent() && call.begun.len() > 1 {
+            self.duplicated += 1;
+            let places: Vec<_> = call
+                .begun
+                .iter()
+                .map(|run| format!("{} {}", run.at_us, run.process))
+                .collect();
+            let detail = format!("ran {} times: {}", places.len(), places.join(", "));
+            self.violate(Promise::AtMostOnce, call.begun[1].at_us, key, detail);
+        }
+    }
+
+    fn judge_answer(&mut self, key: &str, call: &Call<'_>, replied: &Event) {
+        let detail = if call.begun.is_empty() {
+            "answered although nothing ran"
+        } else if replied.digest != replied.expected {
+            "answered with another body"
+        } else {
+            return;
+        };
+        self.lost += 1;
+        self.violate(Promise::OwnAnswer, replied.at_us, key, detail);
+    }
+
+    fn judge_not_run(&mut self, key: &str, call: &Call<'_>, replied: &Event) {
+        let Some(run) = call.run_behind(replied) else {
+            return;
+        };
+        self.false_not_run += 1;
+        let detail = format!(
+            "told not-run ({}) at {}, ran at {} on {}",
+            replied.detail.as_deref().unwrap_or("no reason"),
+            replied.at_us,
+            run.at_us,
+            run.process
+        );
+        self.violate(Promise::TrueNotRun, replied.at_us, key, detail);
+    }
+
+    fn violate(&mut self, promise: Promise, at_us: u64, key: &str, detail: impl Into<String>) {
+        self.violations
+            .push(Violation::new(promise, at_us, key, detail));
     }
 }
+
+impl Call<'_> {
+    fn is_idempotent(&self) -> bool {
+        self.sent
+            .iter()
+            .all(|event| event.idempotent != Some(false))
+    }
+
+    /// Returns a run that makes a reply of `not-run` false, whenever it began.
+    ///
+    /// For an idempotent call that is a run of the same attempt. For any other
+    /// it is a run of any attempt that was sent before the reply, since its
+    /// caller takes the reply for the request as a whole.
+    fn run_behind(&self, replied: &Event) -> Option<&Event> {
+        let is_behind = |run: &&&Event| {
+            let attempt = attempt(run);
+            if attempt == self::attempt(replied) {
+                return true;
+            }
+            let sent = self.sent.iter().find(|sent| self::attempt(sent) == attempt);
+            !self.is_idempotent() && sent.is_none_or(|sent| sent.at_us <= replied.at_us)
+        };
+        self.begun.iter().find(is_behind).copied()
+    }
+}
+
+/// Returns the id of an attempt; a call without one has a single attempt.
+fn attempt(event: &Event) -> Option<&str> {
+    event.attempt.as_deref().or(event.key.as_deref())
+}
--- /dev/null
+++ b/crates/lentilshunt-load/src/check/stop.rs
@@ -0,0 +1,190 @@
+//! Checks that planned stops cut off no request in flight.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use lentilshunt_schema::history::{Event, Kind};
+
+use super::{Faults, Promise, Violation};
+
+/// One planned stop of a process.
+#[derive(Debug)]
+struct Stop<'a> {
+    process: &'a str,
+    incarnation: Option<u64>,
+    begun_us: u64,
+    ended_us: u64,
+    callers: Option<&'a str>,
+}
+
+/// One attempt of a call with its reply.
+#[derive(Debug)]
+struct Attempt<'a> {
+    sent: &'a Event,
+    replied: Option<&'a Event>,
+}
+
+/// Returns a violation for each request that a planned stop cut off.
+///
+/// A request is in flight on a stopping node when it was sent to it before the
+/// node ended and replied to after the stop began, or when the upstream beside
+/// the node was running it. Such a request is cut off when its caller gets
+/// neither an answer nor `not-run`. A run on a stopping upstream is cut off
+/// when it does not end. Requests during which a fault was in force are left
+/// out, since the fault may have cut them off.
+#[must_use]
+pub fn judge(history: &[Event]) -> Vec<Violation> {
+    let faults = Faults::collect(history);
+    let stops = stops(history);
+    let executed = executed(history);
+    let mut violations = Vec::new();
+    for attempt in attempts(history) {
+        let from_us = attempt.sent.at_us;
+        let to_us = attempt.replied.map_or(u64::MAX, |replied| replied.at_us);
+        if attempt.is_settled() || faults.any_between(from_us, to_us) {
+            continue;
+        }
+        let cut = stops
+            .iter()
+            .filter(|stop| stop.begun_us <= to_us && stop.ended_us >= from_us)
+            .find(|stop| stop.takes(&attempt) || stop.runs(&attempt, &executed));
+        if let Some(stop) = cut {
+            let key = attempt.sent.key.as_deref().unwrap_or_default();
+            let detail = format!("{key} sent at {from_us} got no answer");
+            violations.push(Violation::new(
+                Promise::PlannedStop,
+                stop.begun_us,
+                stop.process,
+                detail,
+            ));
+        }
+    }
+    violations.extend(unfinished(history, &stops, &faults));
+    violations
+}
+
+impl Stop<'_> {
+    /// Returns whether an attempt was sent to the stopping node.
+    fn takes(&self, attempt: &Attempt<'_>) -> bool {
+        self.callers.is_some() && self.callers == attempt.sent.instance.as_deref()
+    }
+
+    /// Returns whether an attempt ran on the upstream beside the stopping node.
+    fn runs(&self, attempt: &Attempt<'_>, executed: &BTreeSet<(&str, &str)>) -> bool {
+        let id = attempt.sent.attempt.as_deref().unwrap_or_default();
+        self.process
+            .strip_prefix("node/")
+            .is_some_and(|instance| executed.contains(&(id, instance)))
+    }
+}
+
+impl Attempt<'_> {
+    fn is_settled(&self) -> bool {
+        let verdict = self.replied.and_then(|replied| replied.verdict.as_deref());
+        matches!(verdict, Some("ran" | "not-run"))
+    }
+}
+
+/// Returns a violation for each run that was under way when a stop began and
+/// did not end, or whose caller did not get its answer.
+fn unfinished(history: &[Event], stops: &[Stop<'_>], faults: &Faults) -> Vec<Violation> {
+    let ended: BTreeSet<_> = history
+        .iter()
+        .filter(|event| event.kind == Kind::RunEnded)
+        .map(|event| (event.process.as_str(), event.request.as_deref()))
+        .collect();
+    let end_us = history.last().map_or(0, |event| event.at_us);
+    let begun = history.iter().filter(|event| event.kind == Kind::RunBegun);
+    let mut violations = Vec::new();
+    for run in begun {
+        let stopped = stops.iter().find(|stop| {
+            stop.process == run.process
+                && stop.incarnation == run.incarnation
+                && stop.ended_us >= run.at_us
+        });
+        let Some(stop) = stopped else {
+            continue;
+        };
+        let has_ended = ended.contains(&(run.process.as_str(), run.request.as_deref()));
+        let until_us = stop.ended_us.min(end_us);
+        if has_ended || faults.any_between(run.at_us, until_us) {
+            continue;
+        }
+        let key = run.key.as_deref().unwrap_or_default();
+        let detail = format!("the run of {key} begun at {} did not end", run.at_us);
+        violations.push(Violation::new(
+            Promise::PlannedStop,
+            stop.begun_us,
+            stop.process,
+            detail,
+        ));
+    }
+    violations
+}
+
+/// Returns which attempt ran on the upstream of which instance.
+fn executed(history: &[Event]) -> BTreeSet<(&str, &str)> {
+    history
+        .iter()
+        .filter(|event| event.kind == Kind::RunBegun)
+        .filter_map(|run| {
+            let instance = run.process.strip_prefix("upstream/")?;
+            Some((run.attempt.as_deref()?, instance))
+        })
+        .collect()
+}
+
+fn attempts(history: &[Event]) -> Vec<Attempt<'_>> {
+    let mut replies: BTreeMap<(&str, &str), &Event> = BTreeMap::new();
+    for event in history {
+        if event.kind == Kind::Replied
+            && let (Some(key), Some(attempt)) = (&event.key, &event.attempt)
+        {
+            replies.insert((key, attempt), event);
+        }
+    }
+    let mut attempts = Vec::new();
+    for event in history {
+        if event.kind == Kind::Sent
+            && let (Some(key), Some(attempt)) = (&event.key, &event.attempt)
+        {
+            attempts.push(Attempt {
+                sent: event,
+                replied: replies.get(&(key.as_str(), attempt.as_str())).copied(),
+            });
+        }
+    }
+    attempts
+}
+
+fn stops(history: &[Event]) -> Vec<Stop<'_>> {
+    let mut callers: BTreeMap<(&str, Option<u64>), &str> = BTreeMap::new();
+    let mut stops: Vec<Stop<'_>> = Vec::new();
+    for event in history {
+        let process = event.process.as_str();
+        let id = (process, event.incarnation);
+        match event.kind {
+            Kind::Started => {
+                if let Some(address) = &event.detail {
+                    callers.insert(id, address);
+                }
+            }
+            Kind::Stopping => stops.push(Stop {
+                process,
+                incarnation: event.incarnation,
+                begun_us: event.at_us,
+                ended_us: u64::MAX,
+                callers: callers.get(&id).copied(),
+            }),
+            Kind::Stopped => {
+                let stop = stops
+                    .iter_mut()
+                    .find(|stop| (stop.process, stop.incarnation) == id);
+                if let Some(stop) = stop {
+                    stop.ended_us = event.at_us;
+                }
+            }
+            _ => {}
+        }
+    }
+    stops
+}
--- a/crates/lentilshunt-load/src/check/versions.rs
+++ b/crates/lentilshunt-load/src/check/versions.rs
@@ -4,17 +4,23 @@
 
 use lentilshunt_schema::history::{Event, Kind};
 
+use super::{Promise, Violation};
+
 /// Counts of installed versions and of broken promises about them.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Versions {
     /// Versions that were accepted.
     pub accepted: u64,
-    /// Installations of a version not higher than the one in force.
+    /// Installations of a version not higher than the one in force, also
+    /// before a restart of the process.
     pub moved_back: u64,
     /// Installations whose content is not the accepted one.
     pub partial: u64,
-    /// Time from each acceptance to each node's installation, in microseconds.
+    /// Time from each acceptance to each node's installation, in microseconds,
+    /// for processes that were running at the acceptance.
     pub convergence_us: Vec<u64>,
+    /// Every broken promise.
+    pub violations: Vec<Violation>,
 }
 
 impl Versions {
@@ -22,39 +28,58 @@
     #[must_use]
     pub fn judge(history: &[Event]) -> Self {
         let mut result = Self::default();
-        let mut accepted: BTreeMap<u64, (&str, u64)> = BTreeMap::new();
-        for event in history {
-            if let (Kind::Accepted, Some(version), Some(digest)) =
-                (event.kind, event.version, &event.digest)
-            {
-                accepted.insert(version, (digest, event.at_us));
-            }
-        }
+        let accepted = accepted(history);
         result.accepted = accepted.len() as u64;
-        let mut in_force: BTreeMap<(&str, Option<u64>), u64> = BTreeMap::new();
+        let installed = history
+            .iter()
+            .filter(|event| event.kind == Kind::Installed)
+            .filter_map(|event| Some((event, event.version?)));
+        let mut in_force: BTreeMap<&str, (u64, Option<u64>)> = BTreeMap::new();
         let mut reached: BTreeSet<(&str, u64)> = BTreeSet::new();
-        for event in history {
-            let (Kind::Installed, Some(version)) = (event.kind, event.version) else {
+        for (event, version) in installed {
+            let process = event.process.as_str();
+            if let Some((before, incarnation)) = in_force.get(process) {
+                let restarted = *incarnation != event.incarnation;
+                if version < *before || (version == *before && !restarted) {
+                    result.moved_back += 1;
+                    let detail = format!("installed {version} after {before}");
+                    result.violate(Promise::VersionOrder, event, detail);
+                }
+            }
+            in_force.insert(process, (version, event.incarnation));
+            let Some(acceptance) = accepted.get(&version) else {
+                result.partial += 1;
+                let detail = format!("installed {version}, which was never accepted");
+                result.violate(Promise::WholeVersion, event, detail);
                 continue;
             };
-            let process = (event.process.as_str(), event.incarnation);
-            let before = in_force.insert(process, version).unwrap_or_default();
-            if version <= before {
-                result.moved_back += 1;
+            if event.digest != acceptance.digest {
+                result.partial += 1;
+                let detail = format!("installed {version} with other content");
+                result.violate(Promise::WholeVersion, event, detail);
             }
-            match accepted.get(&version) {
-                Some((digest, at_us)) => {
-                    if event.digest.as_deref() != Some(digest) {
-                        result.partial += 1;
-                    }
-                    if reached.insert((process.0, version)) {
-                        let elapsed = event.at_us.saturating_sub(*at_us);
-                        result.convergence_us.push(elapsed);
-                    }
-                }
-                None => result.partial += 1,
+            let was_running = event.incarnation <= Some(acceptance.at_us);
+            if reached.insert((process, version)) && was_running {
+                let elapsed = event.at_us.saturating_sub(acceptance.at_us);
+                result.convergence_us.push(elapsed);
             }
         }
         result
     }
+
+    fn violate(&mut self, promise: Promise, event: &Event, detail: String) {
+        let violation = Violation::new(promise, event.at_us, &event.process, detail);
+        self.violations.push(violation);
+    }
+}
+
+/// Returns the first event of each accepted version.
+pub(super) fn accepted(history: &[Event]) -> BTreeMap<u64, &Event> {
+    let mut accepted = BTreeMap::new();
+    for event in history {
+        if let (Kind::Accepted, Some(version)) = (event.kind, event.version) {
+            accepted.entry(version).or_insert(event);
+        }
+    }
+    accepted
 }
--- a/crates/lentilshunt-net/src/history/event.rs
+++ b/crates/lentilshunt-net/src/history/event.rs
@@ -32,5 +32,8 @@
         status: None,
         detail: None,
         expected: None,
+        attempt: None,
+        base: None,
+        routes: None,
     }
 }
