feat(dissemination): spread versions and records between nodes

Every node used to poll the platform, whose capacity grows more slowly than the fleet. Nodes now probe each other within a failure domain, push changes along a tree, exchange them between domains through relays chosen by rendezvous hashing, and leave reading the head to two watchers a domain. The first version of a starting node is held back until the platform or several nodes have answered.

A replica now keeps the bytes it installed so that it can serve them, and refuses a version by its hash rather than every version up to it.

--- a/crates/lentilshunt-core/src/dissemination/action.rs
+++ b/crates/lentilshunt-core/src/dissemination/action.rs
@@ -1,9 +1,10 @@
 //! What a strategy asks its owner to do.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
-use lentilshunt_schema::platform::Transaction;
+use lentilshunt_schema::{peer::Message, platform::Transaction};
 
+use super::Link;
 use crate::{
     config::Snapshot,
     id::{Digest, VersionId},
@@ -31,6 +32,18 @@
     },
     /// Use a new view of the endpoints.
     Publish(Arc<View>),
+    /// Send a message to another node, and report when it cannot be delivered.
+    ///
+    /// The first message to the sender of the message being handled is its
+    /// answer and may travel with the confirmation of delivery.
+    Send {
+        /// Peer address of the other node.
+        to: SocketAddr,
+        /// What to send.
+        message: Box<Message>,
+        /// How far away the other node is.
+        link: Link,
+    },
 }
 
 /// A request to the platform.
--- a/crates/lentilshunt-core/src/dissemination/event.rs
+++ b/crates/lentilshunt-core/src/dissemination/event.rs
@@ -1,6 +1,11 @@
 //! What a strategy is told.
 
-use lentilshunt_schema::platform::{Outcome, Row};
+use std::net::SocketAddr;
+
+use lentilshunt_schema::{
+    peer::Message,
+    platform::{Outcome, Row},
+};
 
 use super::Question;
 use crate::membership::Announcement;
@@ -23,6 +28,15 @@
         /// Answer, or none when the platform could not be reached in time.
         answer: Option<Answer>,
     },
+    /// Another node sent a message.
+    Message(Box<Message>),
+    /// A message could not be delivered, or its delivery was not confirmed in time.
+    Unreachable {
+        /// Peer address of the other node.
+        to: SocketAddr,
+        /// What was to be sent.
+        message: Box<Message>,
+    },
 }
 
 /// Answer of the platform to a [`Question`].
--- /dev/null
+++ b/crates/lentilshunt-core/src/dissemination/hybrid/core.rs
@@ -0,0 +1,298 @@
+//! The state of the strategy and its events.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use lentilshunt_schema::peer::{Message, Payload, Reach};
+use rand::rngs::StdRng;
+
+use super::{
+    links::Links,
+    probe::Prober,
+    pull::Pull,
+    reach::Reaches,
+    spread::Pending,
+    start::Start,
+    sync::Syncer,
+    watch::Watcher,
+    way::{Scope, Way},
+};
+use crate::{
+    dissemination::{Action, Event, Link, Question, Strategy, replica::Replica},
+    id::{DomainId, InstanceId, RegionId},
+    membership::{Change, Entry, Member, Owner, Roster, Standing, View, rank},
+};
+
+/// Time between two looks at deadlines that need no precision.
+const TICK_INTERVAL: Duration = Duration::from_millis(250);
+/// Characters of a digest that each message carries.
+const DIGEST_CHARACTERS: usize = 8;
+
+/// A node that learns from its failure domain, from relays and from the platform.
+#[derive(Debug)]
+pub struct Hybrid {
+    pub(super) way: Way,
+    pub(super) owner: Owner,
+    pub(super) instance: InstanceId,
+    pub(super) domain: DomainId,
+    pub(super) region: RegionId,
+    pub(super) address: SocketAddr,
+    pub(super) seeds: Vec<SocketAddr>,
+    pub(super) random: StdRng,
+    pub(super) roster: Roster,
+    pub(super) reaches: Reaches,
+    pub(super) replica: Replica,
+    pub(super) links: Links,
+    pub(super) pending: Pending,
+    pub(super) prober: Prober,
+    pub(super) pull: Pull,
+    pub(super) start: Start,
+    pub(super) syncer: Syncer,
+    pub(super) watcher: Watcher,
+    tick_due: Instant,
+    view: Arc<View>,
+    viewed: u64,
+    actions: Vec<Action>,
+}
+
+impl Hybrid {
+    /// Creates a node that starts at `now` and knows the peer addresses `seeds`.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the address of the owner's record is not an IP address and port.
+    #[must_use]
+    pub fn new(owner: Owner, seeds: Vec<SocketAddr>, mut random: StdRng, now: Instant) -> Self {
+        let record = owner.record().clone();
+        let address = record.address.parse().expect("a checked address");
+        let mut roster = Roster::default();
+        let entry = Entry {
+            record: record.clone(),
+            standing: Standing::Alive,
+        };
+        roster.merge(now, entry);
+        Self {
+            way: Way::HYBRID,
+            owner,
+            instance: record.instance,
+            domain: record.domain,
+            region: record.region,
+            address,
+            seeds: seeds.into_iter().filter(|seed| *seed != address).collect(),
+            prober: Prober::new(&mut random, now),
+            syncer: Syncer::new(now),
+            watcher: Watcher::new(&mut random, now),
+            random,
+            roster,
+            reaches: Reaches::default(),
+            replica: Replica::default(),
+            links: Links::default(),
+            pending: Pending::default(),
+            pull: Pull::default(),
+            start: Start::default(),
+            tick_due: now,
+            view: Arc::default(),
+            viewed: 0,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Chooses another way to bring changes to every node.
+    #[must_use]
+    pub fn with_way(mut self, way: Way) -> Self {
+        self.way = way;
+        self
+    }
+
+    /// Returns the entries of all nodes that this node knows.
+    #[must_use]
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// Returns whether a node belongs to the scope of probes and pushes.
+    pub(super) fn in_scope(&self, member: &Member) -> bool {
+        self.way.scope == Scope::Fleet || member.entry.record.domain == self.domain
+    }
+
+    /// Returns the other nodes of the scope that are not gone.
+    pub(super) fn neighbours(&self) -> impl Iterator<Item = &Member> {
+        self.roster
+            .present()
+            .filter(|member| self.in_scope(member) && member.entry.record.instance != self.instance)
+    }
+
+    /// Returns the region of every known failure domain.
+    pub(super) fn regions(&self) -> BTreeMap<DomainId, RegionId> {
+        self.roster
+            .members()
+            .map(|member| &member.entry.record)
+            .map(|record| (record.domain.clone(), record.region.clone()))
+            .collect()
+    }
+
+    pub(super) fn send(&mut self, to: SocketAddr, payload: impl Into<Payload>) {
+        let head = self.replica.head();
+        let message = Message {
+            from: self.address.to_string(),
+            version: head.version,
+            digest: head.digest.chars().take(DIGEST_CHARACTERS).collect(),
+            payload: payload.into(),
+        };
+        let message = Box::new(message);
+        let link = self.roster.at(to).map_or(Link::Unknown, |member| {
+            Link::between(&self.domain, &self.region, &member.entry.record)
+        });
+        self.actions.push(Action::Send { to, message, link });
+    }
+
+    pub(super) fn ask(&mut self, question: Question) {
+        self.actions.push(Action::Ask(question));
+    }
+
+    pub(super) fn act(&mut self, action: Action) {
+        self.actions.push(action);
+    }
+
+    /// Takes an entry and returns what it changed.
+    ///
+    /// What others believe of this node is refuted where it is wrong.
+    pub(super) fn learn(&mut self, now: Instant, entry: Entry) -> Change {
+        if entry.record.instance == self.instance && self.owner.refute(&entry) {
+            self.own_changed(now);
+            return Change::None;
+        }
+        self.roster.merge(now, entry)
+    }
+
+    /// Takes an entry and, if it changed anything, pushes it through the scope.
+    pub(super) fn learn_and_push(&mut self, now: Instant, entry: Entry) -> Change {
+        let instance = entry.record.instance.clone();
+        let change = self.learn(now, entry);
+        self.push_later(now, &instance, change);
+        change
+    }
+
+    /// Takes a statement on reachability and returns whether it is news.
+    pub(super) fn learn_reach(&mut self, reach: Reach) -> bool {
+        let number = self.roster.count();
+        self.reaches.merge(reach, number)
+    }
+
+    /// Publishes the own record after a change.
+    pub(super) fn own_changed(&mut self, now: Instant) {
+        let entry = Entry {
+            record: self.owner.record().clone(),
+            standing: Standing::Alive,
+        };
+        let change = self.roster.merge(now, entry);
+        let instance = self.instance.clone();
+        self.push_later(now, &instance, change);
+    }
+
+    fn timer(&mut self, now: Instant) {
+        if now >= self.tick_due {
+            self.tick_due = now + TICK_INTERVAL;
+            self.expire(now);
+            self.choose_links(now);
+            self.start_timer(now);
+        }
+        self.sync_timer(now);
+        self.watch_timer(now);
+        self.probe_timer(now);
+        self.pull_timer(now);
+        self.push_timer(now);
+        self.link_timer(now);
+    }
+
+    /// Turns suspected nodes of the scope whose time has passed into gone ones.
+    fn expire(&mut self, now: Instant) {
+        let gone = self.roster.expired(now, |member| self.in_scope(member));
+        for entry in gone {
+            self.learn_and_push(now, entry);
+        }
+        self.roster.forget(now);
+    }
+
+    fn publish(&mut self) {
+        if self.viewed == self.roster.counter() {
+            return;
+        }
+        self.viewed = self.roster.counter();
+        let regions = self.regions();
+        let reachable: BTreeMap<_, _> = regions
+            .keys()
+            .map(|domain| {
+                let reachable = self.reaches.is_reachable(&self.domain, domain, &regions);
+                (domain, reachable)
+            })
+            .collect();
+        let records = self
+            .roster
+            .present()
+            .map(|member| &member.entry.record)
+            .filter(|record| reachable.get(&record.domain) == Some(&true));
+        let view = View::new(records);
+        if view != *self.view {
+            self.view = Arc::new(view);
+            self.actions.push(Action::Publish(Arc::clone(&self.view)));
+        }
+    }
+
+    /// Returns whether a node holds a higher state than an entry, room left aside.
+    pub(super) fn knows_better(&self, entry: &Entry) -> bool {
+        let held = self.roster.get(&entry.record.instance);
+        held.is_some_and(|held| {
+            let (held, entry) = (rank(&held.entry), rank(entry));
+            (held.0, held.1, held.2) > (entry.0, entry.1, entry.2)
+        })
+    }
+}
+
+impl Strategy for Hybrid {
+    fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        match event {
+            Event::Timer => self.timer(now),
+            Event::Announced(announcement) => {
+                if self.owner.announce(&announcement) {
+                    self.own_changed(now);
+                }
+            }
+            Event::Silent => {
+                if self.owner.silence() {
+                    self.own_changed(now);
+                }
+            }
+            Event::Stopping => {
+                if self.owner.stop() {
+                    self.own_changed(now);
+                }
+            }
+            Event::Platform { question, answer } => self.answered(now, &question, answer),
+            Event::Message(message) => self.received(now, *message),
+            Event::Unreachable { to, message } => self.unreachable(now, to, &message),
+        }
+        self.publish();
+        std::mem::take(&mut self.actions)
+    }
+
+    fn deadline(&self) -> Instant {
+        [
+            Some(self.tick_due),
+            Some(self.syncer.deadline()),
+            Some(self.watcher.deadline()),
+            Some(self.prober.deadline()),
+            self.pull.deadline(),
+            self.pending.deadline(),
+            self.links.deadline(),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+        .unwrap_or(self.tick_due)
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-core/src/dissemination/hybrid/mod.rs
@@ -0,0 +1,34 @@
+//! Membership in each failure domain, relays between them, and watchers of the platform.
+//!
+//! Every role is chosen by rendezvous hashing over the own view. All that a
+//! role does is idempotent, so two nodes that both believe themselves to hold
+//! it cost a message and no more.
+//!
+//! | part | does |
+//! |---|---|
+//! | `probe` | finds dead nodes of the own failure domain, and gone ones that are back |
+//! | `spread` | pushes changes through the own failure domain |
+//! | `link` | exchanges changes with other failure domains and regions |
+//! | `relay` | chooses the nodes that hold these exchanges |
+//! | `reach` | holds which failure domains reach each other |
+//! | `sync` | compares whole views and closes gaps |
+//! | `watch` | reads the platform's newest head, and addresses of other nodes |
+//! | `start` | holds back the first version until a newer one is ruled out |
+//! | `pull` | fetches newer versions from the nearest holder |
+
+mod core;
+mod link;
+mod links;
+mod probe;
+mod pull;
+mod reach;
+mod receive;
+mod relay;
+mod spread;
+mod start;
+mod sync;
+mod watch;
+mod way;
+
+pub use self::core::Hybrid;
+pub use way::Way;
--- /dev/null
+++ b/crates/lentilshunt-core/src/dissemination/link.rs
@@ -0,0 +1,47 @@
+//! Classes of links, and what a message costs on one.
+
+use derive_more::Display;
+
+use crate::{
+    id::{DomainId, RegionId},
+    membership::Record,
+};
+
+/// Bytes that a request adds to its body: HTTP head, TCP and IP headers, acknowledgement.
+pub const REQUEST_OVERHEAD: usize = 165;
+/// Bytes that a response adds to its body: HTTP head, TCP and IP headers, acknowledgement.
+pub const RESPONSE_OVERHEAD: usize = 181;
+
+/// How far apart the two ends of an exchange are.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Link {
+    /// Both ends are in one failure domain.
+    #[display("same_domain")]
+    SameDomain,
+    /// The ends are in different failure domains of one region.
+    #[display("other_domain")]
+    OtherDomain,
+    /// The ends are in different regions.
+    #[display("other_region")]
+    OtherRegion,
+    /// The other end is the platform.
+    #[display("platform")]
+    Platform,
+    /// The other end is an address whose node is not known yet.
+    #[display("unknown")]
+    Unknown,
+}
+
+impl Link {
+    /// Returns the class of a link between a place and the owner of a record.
+    #[must_use]
+    pub fn between(domain: &DomainId, region: &RegionId, other: &Record) -> Self {
+        if other.domain == *domain {
+            Self::SameDomain
+        } else if other.region == *region {
+            Self::OtherDomain
+        } else {
+            Self::OtherRegion
+        }
+    }
+}
--- a/crates/lentilshunt-core/src/dissemination/mod.rs
+++ b/crates/lentilshunt-core/src/dissemination/mod.rs
@@ -7,12 +7,17 @@
 
 mod action;
 mod event;
+mod hybrid;
+mod jitter;
+mod link;
 mod poll;
 mod replica;
 mod strategy;
 
 pub use action::{Action, Question};
 pub use event::{Answer, Event};
+pub use hybrid::{Hybrid, Way};
+pub use link::{Link, REQUEST_OVERHEAD, RESPONSE_OVERHEAD};
 pub use poll::Poll;
 pub use replica::Replica;
 pub use strategy::Strategy;
--- a/crates/lentilshunt-core/src/dissemination/poll.rs
+++ b/crates/lentilshunt-core/src/dissemination/poll.rs
@@ -7,9 +7,9 @@
 };
 
 use lentilshunt_schema::platform::{Row, Transaction, Write};
-use rand::{Rng, RngExt, rngs::StdRng};
+use rand::rngs::StdRng;
 
-use super::{Action, Answer, Event, Question, Strategy, replica::Replica};
+use super::{Action, Answer, Event, Question, Strategy, jitter::jitter, replica::Replica};
 use crate::{
     config::Head,
     id::InstanceId,
@@ -182,6 +182,7 @@
                 Some(answer) => self.answered(now, &question, answer),
                 None => Vec::new(),
             },
+            Event::Message(_) | Event::Unreachable { .. } => Vec::new(),
         }
     }
 
@@ -189,8 +190,3 @@
         self.due.min(self.heartbeat_due)
     }
 }
-
-/// Returns a time between a half and one and a half of `interval`.
-fn jitter(random: &mut impl Rng, interval: Duration) -> Duration {
-    interval.mul_f64(random.random_range(0.5..1.5))
-}
--- a/crates/lentilshunt-core/src/dissemination/replica.rs
+++ b/crates/lentilshunt-core/src/dissemination/replica.rs
@@ -14,8 +14,9 @@
 /// its content has arrived with the right hashes, and it validates as a whole.
 #[derive(Debug, Default)]
 pub struct Replica {
-    installed: VersionId,
-    refused: VersionId,
+    installed: Head,
+    manifest: Vec<u8>,
+    refused: Option<Head>,
     sections: BTreeMap<Digest, Vec<u8>>,
     fetch: Option<Fetch>,
 }
@@ -24,6 +25,7 @@
 struct Fetch {
     head: Head,
     manifest: Option<Manifest>,
+    encoded: Vec<u8>,
     sections: BTreeMap<Digest, Vec<u8>>,
 }
 
@@ -31,7 +33,28 @@
     /// Returns the installed version; 0 before the first.
     #[must_use]
     pub fn installed(&self) -> VersionId {
-        self.installed
+        self.installed.version
+    }
+
+    /// Returns the installed head.
+    #[must_use]
+    pub fn head(&self) -> &Head {
+        &self.installed
+    }
+
+    /// Returns the head that was refused last, if any.
+    #[must_use]
+    pub fn refused(&self) -> Option<&Head> {
+        self.refused.as_ref()
+    }
+
+    /// Returns the content of the installed version that has a hash.
+    #[must_use]
+    pub fn content(&self, digest: &str) -> Option<&[u8]> {
+        if digest == self.installed.digest {
+            return Some(&self.manifest);
+        }
+        self.sections.get(digest).map(Vec::as_slice)
     }
 
     /// Starts to fetch a head if it is newer than what is installed, refused or being fetched.
@@ -39,13 +62,14 @@
     /// Returns the digest to fetch first.
     pub fn offer(&mut self, head: &Head) -> Option<Digest> {
         let known = self.fetch.as_ref().map_or(0, |fetch| fetch.head.version);
-        let newest = self.installed.max(self.refused).max(known);
-        if head.version <= newest {
+        let newest = self.installed.version.max(known);
+        if head.version <= newest || self.is_refused(head) {
             return None;
         }
         self.fetch = Some(Fetch {
             head: head.clone(),
             manifest: None,
+            encoded: Vec::new(),
             sections: BTreeMap::new(),
         });
         Some(head.digest.clone())
@@ -80,11 +104,15 @@
                 Ok(manifest) => {
                     fetch.sections = held_sections(&manifest, &self.sections);
                     fetch.manifest = Some(manifest);
+                    fetch.encoded = content;
                 }
                 Err(error) => return self.refuse(&error),
             }
         } else if fetch.manifest.is_some() {
             fetch.sections.insert(digest.to_owned(), content);
+            if !self.missing().is_empty() {
+                return Vec::new();
+            }
         }
         let missing = self.missing();
         if missing.is_empty() {
@@ -100,6 +128,7 @@
         let Some(Fetch {
             head,
             manifest: Some(manifest),
+            encoded,
             sections,
         }) = self.fetch.take()
         else {
@@ -107,16 +136,19 @@
         };
         match Snapshot::assemble(&manifest, &sections) {
             Ok(snapshot) => {
-                self.installed = head.version;
+                let version = head.version;
+                self.installed = head;
+                self.manifest = encoded;
                 self.sections = sections;
                 vec![Action::Install {
-                    version: head.version,
+                    version,
                     snapshot: Arc::new(snapshot),
                 }]
             }
             Err(error) => {
-                self.refused = head.version;
-                vec![refusal(&head, &error)]
+                let refusal = refusal(&head, &error);
+                self.refused = Some(head);
+                vec![refusal]
             }
         }
     }
@@ -125,8 +157,15 @@
         let Some(fetch) = self.fetch.take() else {
             return Vec::new();
         };
-        self.refused = fetch.head.version;
-        vec![refusal(&fetch.head, error)]
+        let refusal = refusal(&fetch.head, error);
+        self.refused = Some(fetch.head);
+        vec![refusal]
+    }
+
+    fn is_refused(&self, head: &Head) -> bool {
+        self.refused.as_ref().is_some_and(|refused| {
+            (refused.version, &refused.digest) == (head.version, &head.digest)
+        })
     }
 }
 
--- /dev/null
+++ b/crates/lentilshunt-core/src/membership/entry.rs
@@ -0,0 +1,65 @@
+//! The order of entries, and their short forms.
+
+use super::{Entry, Mark, Standing, Update};
+use crate::id::Incarnation;
+
+/// Returns the key by which entries of one instance are ordered.
+#[must_use]
+pub fn rank(entry: &Entry) -> (Incarnation, u64, Standing, u64) {
+    let record = &entry.record;
+    (
+        record.incarnation,
+        record.sequence,
+        entry.standing,
+        record.reading,
+    )
+}
+
+/// Returns whether entry `new` replaces entry `old` of the same instance.
+#[must_use]
+pub fn supersedes(new: &Entry, old: &Entry) -> bool {
+    rank(new) > rank(old)
+}
+
+/// Returns which state an entry is in.
+#[must_use]
+pub fn mark(entry: &Entry) -> Mark {
+    Mark {
+        instance: entry.record.instance.clone(),
+        incarnation: entry.record.incarnation,
+        sequence: entry.record.sequence,
+        standing: entry.standing,
+    }
+}
+
+/// Returns the short form of an entry, for a receiver that holds its base.
+#[must_use]
+pub fn update(entry: &Entry) -> Update {
+    let record = &entry.record;
+    Update {
+        instance: record.instance.clone(),
+        incarnation: record.incarnation,
+        base: record.base,
+        sequence: record.sequence,
+        standing: entry.standing,
+        phase: record.phase,
+        reading: record.reading,
+        room: record.room,
+    }
+}
+
+/// Returns the entry that an update makes of a held one, or none when the base differs.
+#[must_use]
+pub fn applied(update: &Update, held: &Entry) -> Option<Entry> {
+    let record = &held.record;
+    if (record.incarnation, record.base) != (update.incarnation, update.base) {
+        return None;
+    }
+    let mut entry = held.clone();
+    entry.standing = update.standing;
+    entry.record.sequence = update.sequence;
+    entry.record.phase = update.phase;
+    entry.record.reading = update.reading;
+    entry.record.room = update.room;
+    Some(entry)
+}
--- a/crates/lentilshunt-core/src/membership/mod.rs
+++ b/crates/lentilshunt-core/src/membership/mod.rs
@@ -1,18 +1,26 @@
 //! Which nodes and upstreams exist, and in which phase they are.
+//!
+//! Each node owns one [`Record`]. An [`Entry`] adds what the others believe of
+//! the owner. Entries are ordered by incarnation, sequence, standing and
+//! reading, and the highest one counts, so the order in which they arrive does
+//! not matter. Only an owner raises the sequence, which is how it refutes a
+//! suspicion. A [`Roster`] holds the highest entry of every node.
 
 mod endpoint;
+mod entry;
+mod member;
 mod owner;
+mod rendezvous;
+mod roster;
 mod view;
 
 pub use endpoint::Endpoint;
-pub use lentilshunt_schema::peer::{Announcement, Phase, Record};
+pub use entry::{applied, mark, rank, supersedes, update};
+pub use lentilshunt_schema::peer::{
+    Announcement, Entry, Mark, Phase, Record, Standing, Summary, Update,
+};
+pub use member::Member;
 pub use owner::Owner;
+pub use rendezvous::weight;
+pub use roster::{Change, Roster};
 pub use view::View;
-
-/// Returns whether record `new` replaces record `old` of the same instance.
-///
-/// The higher incarnation wins, then the higher sequence.
-#[must_use]
-pub fn supersedes(new: &Record, old: &Record) -> bool {
-    (new.incarnation, new.sequence) > (old.incarnation, old.sequence)
-}
--- a/crates/lentilshunt-core/src/membership/owner.rs
+++ b/crates/lentilshunt-core/src/membership/owner.rs
@@ -1,6 +1,6 @@
 //! The record that a node publishes about itself and its upstream.
 
-use super::{Announcement, Phase, Record};
+use super::{Announcement, Entry, Phase, Record, Standing};
 use crate::{id::Incarnation, routing::Place};
 
 /// Thousandths in a whole, the unit of reported load.
@@ -24,9 +24,11 @@
             domain: place.domain.clone(),
             incarnation,
             sequence: 0,
+            base: 0,
             service: String::new(),
             phase: Phase::Starting,
             slots: 0,
+            reading: 0,
             room: 0,
         };
         Self {
@@ -69,12 +71,47 @@
         self.replace(record)
     }
 
+    /// Refutes what others believe of this node and returns whether the record changed.
+    ///
+    /// A record of a later start at the same address can only stem from a clock
+    /// that was set back, so the own record rises above it. A record of a later
+    /// start at another address is a replacement, which keeps its record.
+    pub fn refute(&mut self, believed: &Entry) -> bool {
+        let other = &believed.record;
+        if other.incarnation > self.record.incarnation {
+            if other.address != self.record.address {
+                return false;
+            }
+            self.record.incarnation = other.incarnation + 1;
+            return true;
+        }
+        let same_start = other.incarnation == self.record.incarnation;
+        if !same_start || other.sequence < self.record.sequence {
+            return false;
+        }
+        if other.sequence == self.record.sequence && believed.standing == Standing::Alive {
+            return false;
+        }
+        self.record.sequence = other.sequence + 1;
+        true
+    }
+
     fn replace(&mut self, record: Record) -> bool {
         if record == self.record {
             return false;
         }
-        self.record = record;
-        self.record.sequence += 1;
+        let old = std::mem::replace(&mut self.record, record);
+        let new = &mut self.record;
+        if new.room != old.room {
+            new.reading += 1;
+        }
+        let based = new.service != old.service || new.slots != old.slots;
+        if based || new.phase != old.phase {
+            new.sequence += 1;
+        }
+        if based {
+            new.base = new.sequence;
+        }
         true
     }
 }
--- /dev/null
+++ b/crates/lentilshunt-core/src/membership/rendezvous.rs
@@ -0,0 +1,16 @@
+//! Rendezvous hashing, by which each node chooses roles from its own view.
+
+use rapidhash::v3::rapidhash_v3;
+
+/// Returns the weight of a candidate for a role; the highest weight takes it.
+///
+/// The weight depends only on its arguments, so nodes with the same view
+/// choose the same candidate, and a change of the candidates moves few roles.
+#[must_use]
+pub fn weight(candidate: &str, role: &str) -> u64 {
+    let mut bytes = Vec::with_capacity(candidate.len() + role.len() + 1);
+    bytes.extend_from_slice(candidate.as_bytes());
+    bytes.push(0);
+    bytes.extend_from_slice(role.as_bytes());
+    rapidhash_v3(&bytes)
+}
--- /dev/null
+++ b/crates/lentilshunt-core/src/membership/roster.rs
@@ -0,0 +1,235 @@
+//! The highest entry of every node.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use rapidhash::v3::rapidhash_v3;
+
+use super::{Entry, Mark, Member, Standing, Summary, mark, supersedes};
+use crate::id::{DomainId, InstanceId, VersionId};
+
+/// Time in which a suspected node can refute the suspicion.
+const SUSPICION_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for which a gone node is remembered.
+const GONE_LIFETIME: Duration = Duration::from_mins(10);
+
+/// What a merge changed.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Change {
+    /// The held entry is as high or higher.
+    None,
+    /// Only the room changed.
+    Room,
+    /// The sequence or the standing changed.
+    State,
+    /// The node is new, was restarted, or changed more than its phase.
+    Base,
+}
+
+/// Entries of all known nodes, numbered by their last change.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    members: BTreeMap<InstanceId, Member>,
+    addresses: HashMap<SocketAddr, InstanceId>,
+    counter: u64,
+}
+
+impl Roster {
+    /// Returns the number of the latest change.
+    #[must_use]
+    pub fn counter(&self) -> u64 {
+        self.counter
+    }
+
+    /// Returns a new, higher number for a change that is kept elsewhere.
+    pub fn count(&mut self) -> u64 {
+        self.counter += 1;
+        self.counter
+    }
+
+    /// Returns a member.
+    #[must_use]
+    pub fn get(&self, instance: &str) -> Option<&Member> {
+        self.members.get(instance)
+    }
+
+    /// Returns the member whose latest record names an address.
+    #[must_use]
+    pub fn at(&self, address: SocketAddr) -> Option<&Member> {
+        self.members.get(self.addresses.get(&address)?)
+    }
+
+    /// Returns all members in the order of their instances.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Returns the members that are not gone.
+    pub fn present(&self) -> impl Iterator<Item = &Member> {
+        self.members().filter(|member| member.is_present())
+    }
+
+    /// Takes an entry if it is higher than the held one.
+    pub fn merge(&mut self, now: Instant, entry: Entry) -> Change {
+        let instance = entry.record.instance.clone();
+        let old = self.members.get(&instance);
+        let change = old.map_or(Change::Base, |old| change(&entry, &old.entry));
+        if change == Change::None {
+            return change;
+        }
+        self.counter += 1;
+        let address = entry.record.address.parse().ok();
+        let mut member = old.cloned().unwrap_or(Member {
+            entry: entry.clone(),
+            address,
+            changed: self.counter,
+            based: self.counter,
+            read: self.counter,
+            heard_at: None,
+            expires_at: None,
+            version: 0,
+        });
+        if change >= Change::State {
+            member.changed = self.counter;
+            member.expires_at = expiry(now, entry.standing);
+        }
+        if change == Change::Base {
+            member.based = self.counter;
+            if member.address != address {
+                self.forget_address(&member);
+            }
+        }
+        member.read = self.counter;
+        member.address = address;
+        member.entry = entry;
+        if let Some(address) = address {
+            self.addresses.insert(address, instance.clone());
+        }
+        self.members.insert(instance, member);
+        change
+    }
+
+    /// Notes a message from an address and the version in force there.
+    pub fn heard(&mut self, now: Instant, address: SocketAddr, version: VersionId) {
+        let Some(instance) = self.addresses.get(&address) else {
+            return;
+        };
+        if let Some(member) = self.members.get_mut(instance) {
+            member.heard_at = Some(now);
+            member.version = version;
+        }
+    }
+
+    /// Returns the suspected nodes of a failure domain whose time has passed, as gone.
+    #[must_use]
+    pub fn expired(&self, now: Instant, in_scope: impl Fn(&Member) -> bool) -> Vec<Entry> {
+        self.members()
+            .filter(|member| member.entry.standing == Standing::Suspected && in_scope(member))
+            .filter(|member| member.expires_at.is_some_and(|at| at <= now))
+            .map(|member| Entry {
+                record: member.entry.record.clone(),
+                standing: Standing::Gone,
+            })
+            .collect()
+    }
+
+    /// Forgets nodes that have been gone for long.
+    pub fn forget(&mut self, now: Instant) {
+        let expired =
+            |member: &Member| !member.is_present() && member.expires_at.is_some_and(|at| at <= now);
+        let old: Vec<Member> = self
+            .members()
+            .filter(|member| expired(member))
+            .cloned()
+            .collect();
+        for member in old {
+            self.forget_address(&member);
+            self.members.remove(&member.entry.record.instance);
+        }
+    }
+
+    /// Returns the hash of each failure domain over its members that are not gone.
+    #[must_use]
+    pub fn summaries(&self) -> Vec<Summary> {
+        let mut hashes: BTreeMap<&DomainId, u64> = BTreeMap::new();
+        for member in self.present() {
+            let hash = hashes.entry(&member.entry.record.domain).or_default();
+            *hash ^= hash_mark(&member.entry);
+        }
+        hashes
+            .into_iter()
+            .map(|(domain, hash)| Summary {
+                domain: domain.clone(),
+                hash,
+            })
+            .collect()
+    }
+
+    /// Returns the failure domains whose hashes differ from other summaries.
+    #[must_use]
+    pub fn differing(&self, others: &[Summary]) -> Vec<DomainId> {
+        let own = self.summaries();
+        let domains = own.iter().chain(others).map(|summary| &summary.domain);
+        let mut differing: Vec<DomainId> = domains
+            .filter(|domain| hash_of(&own, domain) != hash_of(others, domain))
+            .cloned()
+            .collect();
+        differing.sort();
+        differing.dedup();
+        differing
+    }
+
+    /// Returns the marks of the members of failure domains that are not gone.
+    #[must_use]
+    pub fn marks(&self, domains: &[DomainId]) -> Vec<Mark> {
+        self.present()
+            .filter(|member| domains.contains(&member.entry.record.domain))
+            .map(|member| mark(&member.entry))
+            .collect()
+    }
+
+    fn forget_address(&mut self, member: &Member) {
+        let Some(address) = member.address else {
+            return;
+        };
+        if self.addresses.get(&address) == Some(&member.entry.record.instance) {
+            self.addresses.remove(&address);
+        }
+    }
+}
+
+fn change(new: &Entry, old: &Entry) -> Change {
+    if !supersedes(new, old) {
+        return Change::None;
+    }
+    let (new_record, old_record) = (&new.record, &old.record);
+    let base = |entry: &Entry| (entry.record.incarnation, entry.record.base);
+    if base(new) != base(old) {
+        Change::Base
+    } else if new_record.sequence != old_record.sequence || new.standing != old.standing {
+        Change::State
+    } else {
+        Change::Room
+    }
+}
+
+fn expiry(now: Instant, standing: Standing) -> Option<Instant> {
+    match standing {
+        Standing::Alive => None,
+        Standing::Suspected => Some(now + SUSPICION_TIMEOUT),
+        Standing::Gone => Some(now + GONE_LIFETIME),
+    }
+}
+
+fn hash_of(summaries: &[Summary], domain: &str) -> Option<u64> {
+    let found = summaries.iter().find(|summary| summary.domain == domain);
+    found.map(|summary| summary.hash)
+}
+
+fn hash_mark(entry: &Entry) -> u64 {
+    let bytes = rmp_serde::to_vec(&mark(entry)).expect("a mark has an encoding");
+    rapidhash_v3(&bytes)
+}
--- a/crates/lentilshunt-node/src/control/mod.rs
+++ b/crates/lentilshunt-node/src/control/mod.rs
@@ -1,15 +1,18 @@
 //! Feeds the dissemination strategy and publishes its route tables.
 
 mod ask;
+mod exchange;
+mod input;
 
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use lentilshunt_core::{
     config::Snapshot,
-    dissemination::{Action, Event, Strategy},
+    dissemination::{Action, Event, Link, Strategy},
     id::VersionId,
     membership::View,
     routing::Table,
@@ -20,9 +23,13 @@
 };
 use lentilshunt_schema::history::Kind;
 use slog::{info, warn};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
-use self::ask::ask;
+pub use self::input::Input;
+use self::{
+    ask::ask,
+    exchange::{count_answer, encode, exchange},
+};
 use crate::context::Context;
 
 /// Time after the last announcement at which the upstream counts as silent.
@@ -35,7 +42,7 @@
     strategy: Box<dyn Strategy>,
     table: Arc<dyn platform::Table>,
     store: Arc<dyn Store>,
-    events: mpsc::Sender<Event>,
+    events: mpsc::Sender<Input>,
     version: VersionId,
     snapshot: Arc<Snapshot>,
     view: Arc<View>,
@@ -50,7 +57,7 @@
         strategy: Box<dyn Strategy>,
         table: Arc<dyn platform::Table>,
         store: Arc<dyn Store>,
-        events: mpsc::Sender<Event>,
+        events: mpsc::Sender<Input>,
     ) -> Self {
         Self {
             context,
@@ -66,22 +73,27 @@
     }
 
     /// Handles events until every sender is gone.
-    pub async fn run(mut self, mut received: mpsc::Receiver<Event>) {
+    pub async fn run(mut self, mut received: mpsc::Receiver<Input>) {
         loop {
             let deadline = self.strategy.deadline();
             let due = self.silent_at.map_or(deadline, |at| at.min(deadline));
-            let event = tokio::select! {
-                event = received.recv() => match event {
-                    Some(event) => event,
+            let Input { event, answer } = tokio::select! {
+                input = received.recv() => match input {
+                    Some(input) => input,
                     None => return,
                 },
-                () = tokio::time::sleep_until(due.into()) => self.due(),
+                () = tokio::time::sleep_until(due.into()) => self.due().into(),
             };
             let now = Instant::now();
             if matches!(event, Event::Announced(_)) {
                 self.silent_at = Some(now + ANNOUNCEMENT_TIMEOUT);
             }
-            for action in self.strategy.handle(now, event) {
+            let sender = sender(&event);
+            let mut actions = self.strategy.handle(now, event);
+            if let Some(answer) = answer {
+                reply(answer, sender.as_deref(), &mut actions);
+            }
+            for action in actions {
                 self.carry_out(action);
             }
         }
@@ -103,7 +115,8 @@
                 let events = self.events.clone();
                 tokio::spawn(async move {
                     let answer = ask(&*table, &*store, question.clone()).await;
-                    drop(events.send(Event::Platform { question, answer }).await);
+                    let event = Event::Platform { question, answer };
+                    drop(events.send(event.into()).await);
                 });
             }
             Action::Install { version, snapshot } => self.install(version, snapshot),
@@ -118,6 +131,15 @@
                 self.view = view;
                 self.publish();
             }
+            Action::Send { to, message, link } => {
+                let pool = Arc::clone(&self.context.pool);
+                let events = self.events.clone();
+                tokio::spawn(async move {
+                    if let Some(event) = exchange(pool, to, message, link).await {
+                        drop(events.send(event.into()).await);
+                    }
+                });
+            }
         }
     }
 
@@ -142,3 +164,29 @@
         self.context.routes.store(Arc::new(table));
     }
 }
+
+/// Returns the address that a message names as its sender's.
+fn sender(event: &Event) -> Option<String> {
+    match event {
+        Event::Message(message) => Some(message.from.clone()),
+        _ => None,
+    }
+}
+
+/// Answers a message by the first action that sends to its sender, or by nothing.
+fn reply(answer: oneshot::Sender<Bytes>, sender: Option<&str>, actions: &mut Vec<Action>) {
+    let is_reply = |action: &Action| match action {
+        Action::Send { to, .. } => Some(to.to_string().as_str()) == sender,
+        _ => false,
+    };
+    let (body, link) = match actions.iter().position(is_reply) {
+        Some(index) => match actions.remove(index) {
+            Action::Send { message, link, .. } => (encode(&message), link),
+            _ => (Bytes::new(), Link::Unknown),
+        },
+        None => (Bytes::new(), Link::Unknown),
+    };
+    count_answer(link, &body);
+    // A sender that has given up takes no answer.
+    drop(answer.send(body));
+}
--- /dev/null
+++ b/crates/lentilshunt-node/src/peer/control.rs
@@ -0,0 +1,31 @@
+//! Takes control messages of other nodes.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Response, StatusCode};
+use lentilshunt_core::dissemination::Event;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::control::Input;
+use lentilshunt_net::http::{empty, whole};
+
+/// Passes a message to the control task and returns its answer.
+pub(super) async fn control(events: &mpsc::Sender<Input>, body: &[u8]) -> Response<Full<Bytes>> {
+    let Ok(message) = rmp_serde::from_slice(body) else {
+        metrics::counter!("lentilshunt_refusals_total", "reason" => "control_encoding")
+            .increment(1);
+        return empty(StatusCode::BAD_REQUEST);
+    };
+    let (answer, answered) = oneshot::channel();
+    let input = Input {
+        event: Event::Message(Box::new(message)),
+        answer: Some(answer),
+    };
+    if events.send(input).await.is_err() {
+        return empty(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    match answered.await {
+        Ok(body) => whole(StatusCode::OK, body),
+        Err(_stopped) => empty(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
--- a/crates/lentilshunt-node/src/peer/handler.rs
+++ b/crates/lentilshunt-node/src/peer/handler.rs
@@ -18,8 +18,8 @@
 use lentilshunt_schema::{call::Resolve, peer::Announcement};
 use tokio::sync::mpsc;
 
-use super::path;
-use crate::{context::Context, executor::Local};
+use super::{control::control, path};
+use crate::{context::Context, control::Input, executor::Local};
 
 /// Bytes that the head of a call may add to its body.
 const HEAD_BYTES: usize = 64 * 1024;
@@ -29,13 +29,13 @@
 pub struct Peer {
     context: Arc<Context>,
     local: Arc<Local>,
-    events: mpsc::Sender<Event>,
+    events: mpsc::Sender<Input>,
 }
 
 impl Peer {
     /// Creates the handler.
     #[must_use]
-    pub fn new(context: Arc<Context>, local: Arc<Local>, events: mpsc::Sender<Event>) -> Self {
+    pub fn new(context: Arc<Context>, local: Arc<Local>, events: mpsc::Sender<Input>) -> Self {
         Self {
             context,
             local,
@@ -55,6 +55,7 @@
         let request = Request::from_parts(parts, body.to_bytes());
         match request.uri().path() {
             path::ANNOUNCE => self.announce(request.body()).await,
+            path::CONTROL => control(&self.events, request.body()).await,
             path::RESOLVE => self.resolve(request.body()).await,
             called if called.starts_with(path::CALL) => self.call(&request).await,
             _ => empty(StatusCode::NOT_FOUND),
@@ -69,7 +70,11 @@
             return empty(StatusCode::FORBIDDEN);
         }
         self.local.announce(&announcement);
-        drop(self.events.send(Event::Announced(announcement)).await);
+        drop(
+            self.events
+                .send(Event::Announced(announcement).into())
+                .await,
+        );
         empty(StatusCode::OK)
     }
 
--- a/crates/lentilshunt-node/src/peer/mod.rs
+++ b/crates/lentilshunt-node/src/peer/mod.rs
@@ -1,5 +1,6 @@
 //! Takes messages of other nodes and of the own upstream.
 
+mod control;
 mod handler;
 pub mod path;
 
--- a/crates/lentilshunt-node/src/shell/mod.rs
+++ b/crates/lentilshunt-node/src/shell/mod.rs
@@ -9,7 +9,7 @@
 
 use arc_swap::ArcSwap;
 use lentilshunt_core::{
-    dissemination::{Event, Poll},
+    dissemination::{Event, Hybrid, Poll, Strategy},
     membership::Owner,
     routing::{Nearest, Place},
 };
@@ -27,7 +27,7 @@
 use crate::{
     admin::Admin,
     context::Context,
-    control::Control,
+    control::{Control, Input},
     entry::{Entry, Remote},
     executor::Local,
     peer::Peer,
@@ -70,7 +70,7 @@
     info!(context.log, "the node stops");
     context.history.write(event(Kind::Stopping));
     // The control task ends with the runtime; a full queue only delays the record.
-    drop(events.send(Event::Stopping).await);
+    drop(events.send(Event::Stopping.into()).await);
     tokio::time::sleep(NOTICE).await;
     closed.cancel();
     let drained = async {
@@ -113,7 +113,7 @@
     })
 }
 
-fn control(context: &Arc<Context>, events: mpsc::Sender<Event>) -> io::Result<Control> {
+fn control(context: &Arc<Context>, events: mpsc::Sender<Input>) -> io::Result<Control> {
     let settings = &context.settings;
     let address = address(&settings.platform.address)?;
     let timeout = Duration::from_millis(settings.platform.timeout_ms.get());
@@ -127,7 +127,13 @@
     };
     let owner = Owner::new(&context.place, advertised.clone(), context.incarnation);
     let random = StdRng::seed_from_u64(context.incarnation);
-    let strategy = Box::new(Poll::new(owner, random, Instant::now()));
+    let now = Instant::now();
+    let strategy: Box<dyn Strategy> = match settings.control.strategy {
+        settings::ControlStrategy::Hybrid => {
+            Box::new(Hybrid::new(owner, seeds(settings), random, now))
+        }
+        settings::ControlStrategy::Poll => Box::new(Poll::new(owner, random, now)),
+    };
     let table = Arc::clone(&client);
     Ok(Control::new(
         Arc::clone(context),
@@ -138,6 +144,12 @@
     ))
 }
 
+/// Returns the peer addresses that are known at start.
+fn seeds(settings: &settings::Node) -> Vec<SocketAddr> {
+    let seeds = settings.peers.seeds.split(',');
+    seeds.filter_map(|seed| seed.trim().parse().ok()).collect()
+}
+
 async fn serve(
     text: &str,
     handler: Arc<dyn Handler>,
