feat(route): choose by own observation, resolve unknown outcomes, bound retries

An attempt whose outcome was unknown ended the call, and a refused later attempt hid that an earlier one may have run. The dispatcher now asks the executing node, keeps the worst verdict of all attempts, spends a retry budget per service, and keeps requests that crash upstreams to two upstreams. Endpoints are chosen by locality, predicted room and own observation.

Ruled out: a question for idempotent requests that bars them, since the ledger holds only requests that may run once; a shorter deadline sent along, since it copies the call.

--- /dev/null
+++ b/crates/lentilshunt-core/src/quarantine/answered.rs
@@ -0,0 +1,66 @@
+//! Requests that were answered lately.
+
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::{Duration, Instant},
+};
+
+use super::Fingerprint;
+
+/// Requests that are remembered; a later one may displace an earlier one.
+const ENTRIES: usize = 4096;
+/// Time for which an answered request is no suspect.
+const LIFETIME: Duration = Duration::from_mins(1);
+/// Bits of an entry that hold the second of the answer.
+const SECOND_BITS: u32 = 24;
+
+/// Fingerprints of requests that were answered whole, in a table of fixed size.
+#[derive(Debug)]
+pub(super) struct Answered {
+    origin: Instant,
+    /// Upper bits of the fingerprint, then the second after `origin`, from 1.
+    entries: Box<[AtomicU64]>,
+}
+
+impl Answered {
+    pub(super) fn new(origin: Instant) -> Self {
+        Self {
+            origin,
+            entries: (0..ENTRIES).map(|_| AtomicU64::new(0)).collect(),
+        }
+    }
+
+    /// Remembers a request.
+    pub(super) fn insert(&self, request: Fingerprint, now: Instant) {
+        let word = mark(request) | self.second(now);
+        let entry = self.entry(request);
+        if entry.load(Ordering::Relaxed) != word {
+            entry.store(word, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns whether a request was answered lately.
+    pub(super) fn contains(&self, request: Fingerprint, now: Instant) -> bool {
+        let word = self.entry(request).load(Ordering::Relaxed);
+        let mask = (1 << SECOND_BITS) - 1;
+        let second = word & mask;
+        let age = self.second(now).saturating_sub(second);
+        second != 0 && word & !mask == mark(request) && age <= LIFETIME.as_secs()
+    }
+
+    fn entry(&self, request: Fingerprint) -> &AtomicU64 {
+        let index = usize::try_from(request % ENTRIES as u128).unwrap_or_default();
+        &self.entries[index]
+    }
+
+    fn second(&self, now: Instant) -> u64 {
+        let second = now.saturating_duration_since(self.origin).as_secs() + 1;
+        second.min((1 << SECOND_BITS) - 1)
+    }
+}
+
+/// Returns the upper bits of a fingerprint.
+fn mark(request: Fingerprint) -> u64 {
+    let upper = u64::try_from(request >> u64::BITS).unwrap_or_default();
+    upper >> SECOND_BITS << SECOND_BITS
+}
--- /dev/null
+++ b/crates/lentilshunt-core/src/quarantine/suspects.rs
@@ -0,0 +1,191 @@
+//! Which requests are suspects or in quarantine.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwap;
+
+use super::{Fingerprint, Suspicion, answered::Answered};
+use crate::{id::InstanceId, membership::Endpoint, routing::Route};
+
+/// Time for which a suspicion counts.
+const SUSPICION_TIME: Duration = Duration::from_mins(2);
+/// Time within which losses of one upstream count as the same.
+const LOSS_TIME: Duration = Duration::from_secs(2);
+/// Losses that quarantine a request.
+const LOSSES_TO_QUARANTINE: usize = 2;
+/// Requests under suspicion that are remembered.
+const MAX_SUSPECTS: usize = 4096;
+
+/// Whether a request may run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Admittance {
+    /// The request may run on any upstream.
+    Free,
+    /// The request is a suspect and may run on one upstream only.
+    Suspect,
+    /// The request may not run.
+    Quarantined,
+}
+
+/// Suspects with the losses during which they were in flight.
+#[derive(Debug)]
+pub struct Suspects {
+    suspects: ArcSwap<HashMap<Fingerprint, Suspect>>,
+    answered: Answered,
+}
+
+/// The losses during which one request was in flight.
+#[derive(Clone, Debug)]
+struct Suspect {
+    losses: Vec<Loss>,
+    expires_at: Instant,
+}
+
+/// One loss of an upstream.
+#[derive(Clone, Debug)]
+struct Loss {
+    instance: InstanceId,
+    repeat: u8,
+    /// Instant until which a further loss of this upstream counts as the same.
+    settled_at: Instant,
+}
+
+impl Suspects {
+    /// Creates the state without suspects; no earlier instant may be passed in later.
+    #[must_use]
+    pub fn new(origin: Instant) -> Self {
+        Self {
+            suspects: ArcSwap::default(),
+            answered: Answered::new(origin),
+        }
+    }
+
+    /// Returns whether a request may run.
+    #[must_use]
+    pub fn admittance(&self, request: Fingerprint, now: Instant) -> Admittance {
+        let suspects = self.suspects.load();
+        match suspects.get(&request) {
+            Some(suspect) if suspect.expires_at > now => suspect.admittance(),
+            _ => Admittance::Free,
+        }
+    }
+
+    /// Takes the loss of an upstream while a request was in flight there.
+    ///
+    /// Returns the suspicion that other nodes have to learn, or none when the
+    /// request was answered lately or the loss is known.
+    pub fn lose(
+        &self,
+        request: Fingerprint,
+        instance: &InstanceId,
+        now: Instant,
+    ) -> Option<Suspicion> {
+        if self.answered.contains(request, now) {
+            return None;
+        }
+        let suspects = self.suspects.load();
+        let losses = suspects
+            .get(&request)
+            .map_or(&[][..], |suspect| &suspect.losses);
+        let earlier = losses.iter().filter(|loss| loss.instance == *instance);
+        let last = earlier.max_by_key(|loss| loss.repeat);
+        if last.is_some_and(|loss| loss.settled_at > now) {
+            return None;
+        }
+        let suspicion = Suspicion {
+            request,
+            instance: instance.clone(),
+            repeat: last.map_or(0, |loss| loss.repeat.saturating_add(1)),
+        };
+        self.learn(&suspicion, now);
+        Some(suspicion)
+    }
+
+    /// Takes a suspicion of this or another node.
+    pub fn learn(&self, suspicion: &Suspicion, now: Instant) {
+        if self.answered.contains(suspicion.request, now) {
+            return;
+        }
+        self.suspects.rcu(|suspects| {
+            let mut suspects = HashMap::clone(suspects);
+            suspects.retain(|_, suspect| suspect.expires_at > now);
+            if suspects.len() < MAX_SUSPECTS || suspects.contains_key(&suspicion.request) {
+                let suspect = suspects
+                    .entry(suspicion.request)
+                    .or_insert_with(|| Suspect {
+                        losses: Vec::new(),
+                        expires_at: now + SUSPICION_TIME,
+                    });
+                suspect.learn(suspicion, now);
+            }
+            suspects
+        });
+    }
+
+    /// Takes the whole answer to a request, which clears it.
+    pub fn clear(&self, request: Fingerprint, now: Instant) {
+        self.answered.insert(request, now);
+        if !self.suspects.load().contains_key(&request) {
+            return;
+        }
+        self.suspects.rcu(|suspects| {
+            let mut suspects = HashMap::clone(suspects);
+            suspects.remove(&request);
+            suspects
+        });
+    }
+
+    /// Chooses the only endpoint that a suspect may still run on.
+    ///
+    /// Every node with the same route and suspicions chooses the same one, so
+    /// that repeats through other nodes do not reach a third upstream.
+    #[must_use]
+    pub fn last_resort(&self, request: Fingerprint, route: &Route) -> Option<Arc<Endpoint>> {
+        let suspects = self.suspects.load();
+        let losses = suspects
+            .get(&request)
+            .map_or(&[][..], |suspect| &suspect.losses);
+        let is_lost = |endpoint: &&Arc<Endpoint>| {
+            losses.iter().any(|loss| loss.instance == endpoint.instance)
+        };
+        let others = route.endpoints().filter(|endpoint| !is_lost(endpoint));
+        let chosen = others.max_by_key(|endpoint| weight(request, endpoint));
+        chosen.or_else(|| route.endpoints().next()).map(Arc::clone)
+    }
+}
+
+impl Suspect {
+    fn admittance(&self) -> Admittance {
+        if self.losses.len() >= LOSSES_TO_QUARANTINE {
+            Admittance::Quarantined
+        } else {
+            Admittance::Suspect
+        }
+    }
+
+    fn learn(&mut self, suspicion: &Suspicion, now: Instant) {
+        let is_known =
+            |loss: &Loss| loss.instance == suspicion.instance && loss.repeat == suspicion.repeat;
+        if self.losses.iter().any(is_known) || self.losses.len() >= LOSSES_TO_QUARANTINE {
+            return;
+        }
+        self.losses.push(Loss {
+            instance: suspicion.instance.clone(),
+            repeat: suspicion.repeat,
+            settled_at: now + LOSS_TIME,
+        });
+        self.expires_at = now + SUSPICION_TIME;
+    }
+}
+
+/// Returns the weight by which rendezvous hashing ranks an endpoint for a request.
+fn weight(request: Fingerprint, endpoint: &Endpoint) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&request.to_le_bytes());
+    hasher.update(endpoint.instance.as_bytes());
+    *hasher.finalize().as_bytes()
+}
--- /dev/null
+++ b/crates/lentilshunt-core/src/retry/budgets.rs
@@ -0,0 +1,35 @@
+//! The retry budgets of all services.
+
+use std::{sync::Arc, time::Instant};
+
+use super::Budget;
+use crate::routing::registry::Registry;
+
+/// Retry budgets by service, kept over changes of the route table.
+#[derive(Debug)]
+pub struct Budgets {
+    origin: Instant,
+    services: Registry<Budget>,
+}
+
+impl Budgets {
+    /// Creates budgets; no earlier instant may be passed in later.
+    #[must_use]
+    pub fn new(origin: Instant) -> Self {
+        Self {
+            origin,
+            services: Registry::default(),
+        }
+    }
+
+    /// Returns the budget of a service of the configuration.
+    #[must_use]
+    pub fn budget(&self, service: &str) -> Arc<Budget> {
+        if let Some(budget) = self.services.get(service) {
+            return budget;
+        }
+        let budget = Budget::new(self.origin);
+        self.services
+            .get_or_put(service, budget, |_| true, |_| true)
+    }
+}
--- a/crates/lentilshunt-core/src/retry/mod.rs
+++ b/crates/lentilshunt-core/src/retry/mod.rs
@@ -1,1 +1,9 @@
 //! Whether a call may be tried again.
+
+mod budget;
+mod budgets;
+mod decision;
+
+pub use budget::Budget;
+pub use budgets::Budgets;
+pub use decision::{Decision, MAX_ATTEMPTS, decide};
--- /dev/null
+++ b/crates/lentilshunt-core/src/routing/registry.rs
@@ -0,0 +1,64 @@
+//! Values by name, read without a lock.
+
+use std::{collections::HashMap, sync::Arc};
+
+use arc_swap::{ArcSwap, Guard};
+use rapidhash::fast::RandomState;
+
+/// The map that readers see.
+pub(crate) type Entries<T> = HashMap<String, Arc<T>, RandomState>;
+
+/// Shared values by name; a change copies the map, a read does not wait.
+#[derive(Debug)]
+pub(crate) struct Registry<T> {
+    entries: ArcSwap<Entries<T>>,
+}
+
+impl<T> Default for Registry<T> {
+    fn default() -> Self {
+        Self {
+            entries: ArcSwap::default(),
+        }
+    }
+}
+
+impl<T> Registry<T> {
+    /// Returns the present map.
+    pub(crate) fn load(&self) -> Guard<Arc<Entries<T>>> {
+        self.entries.load()
+    }
+
+    /// Returns the value of a name.
+    pub(crate) fn get(&self, name: &str) -> Option<Arc<T>> {
+        self.entries.load().get(name).map(Arc::clone)
+    }
+
+    /// Returns the value of a name if `keep` accepts it, and otherwise puts `value` there.
+    ///
+    /// Every value that `retain` rejects is removed on the same occasion.
+    pub(crate) fn get_or_put(
+        &self,
+        name: &str,
+        value: T,
+        keep: impl Fn(&T) -> bool,
+        retain: impl Fn(&T) -> bool,
+    ) -> Arc<T> {
+        if let Some(kept) = self.get(name).filter(|kept| keep(kept)) {
+            return kept;
+        }
+        let value = Arc::new(value);
+        self.entries.rcu(|entries| {
+            let mut changed: Entries<T> = entries
+                .iter()
+                .filter(|(_, entry)| retain(entry))
+                .map(|(name, entry)| (name.clone(), Arc::clone(entry)))
+                .collect();
+            match changed.get(name) {
+                Some(present) if keep(present) => {}
+                _ => drop(changed.insert(name.to_owned(), Arc::clone(&value))),
+            }
+            changed
+        });
+        self.get(name).unwrap_or(value)
+    }
+}
--- a/crates/lentilshunt-core/src/verdict/reason.rs
+++ b/crates/lentilshunt-core/src/verdict/reason.rs
@@ -44,6 +44,9 @@
     /// The connection broke after the request was sent.
     #[display("connection-lost")]
     ConnectionLost,
+    /// The upstream was lost while it ran the request.
+    #[display("upstream-lost")]
+    UpstreamLost,
     /// The request id was barred before it arrived.
     #[display("barred")]
     Barred,
@@ -69,7 +72,7 @@
 
 impl Reason {
     /// All reasons, in the order of their definition.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::NoConfiguration,
         Self::BadRequest,
         Self::UnknownService,
@@ -82,6 +85,7 @@
         Self::NotReady,
         Self::Unreachable,
         Self::ConnectionLost,
+        Self::UpstreamLost,
         Self::Barred,
         Self::Duplicate,
         Self::ClaimUnavailable,
--- /dev/null
+++ b/crates/lentilshunt-core/tests/retry.rs
@@ -0,0 +1,102 @@
+//! Retry decisions and budgets.
+
+use std::time::{Duration, Instant};
+
+use lentilshunt_core::{
+    retry::{Budget, Budgets, Decision, MAX_ATTEMPTS, decide},
+    verdict::{Reason, Verdict},
+};
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// Retries that a service may have without any other calls.
+const FLOOR: usize = 10;
+
+#[rstest]
+#[case(Verdict::NotRun, Some(Reason::QueueFull), false, 1, Decision::Retry)]
+#[case(
+    Verdict::NotRun,
+    Some(Reason::QueueFull),
+    false,
+    MAX_ATTEMPTS,
+    Decision::Stop
+)]
+#[case(
+    Verdict::MayHaveRun,
+    Some(Reason::ConnectionLost),
+    true,
+    1,
+    Decision::Retry
+)]
+#[case(
+    Verdict::MayHaveRun,
+    Some(Reason::ConnectionLost),
+    false,
+    1,
+    Decision::Stop
+)]
+#[case(Verdict::NotRun, Some(Reason::Duplicate), false, 1, Decision::Stop)]
+#[case(Verdict::NotRun, Some(Reason::Quarantined), true, 1, Decision::Stop)]
+#[case(Verdict::Ran, None, true, 1, Decision::Stop)]
+fn decide_cases(
+    #[case] verdict: Verdict,
+    #[case] reason: Option<Reason>,
+    #[case] idempotent: bool,
+    #[case] attempts: usize,
+    #[case] expected: Decision,
+) {
+    let now = Instant::now();
+    let budget = Budget::new(now);
+    let decision = decide(verdict, reason, idempotent, attempts, &budget, now);
+    assert_eq!(decision, expected);
+}
+
+#[test]
+fn decide_exhausted() {
+    let now = Instant::now();
+    let budget = Budget::new(now);
+    let retry = |now| {
+        decide(
+            Verdict::NotRun,
+            Some(Reason::QueueFull),
+            false,
+            1,
+            &budget,
+            now,
+        )
+    };
+    let decisions: Vec<_> = (0..=FLOOR).map(|_| retry(now)).collect();
+    let mut expected = vec![Decision::Retry; FLOOR];
+    expected.push(Decision::Exhausted);
+    assert_eq!(decisions, expected);
+    assert_eq!(retry(now + Duration::from_secs(1)), Decision::Retry);
+}
+
+#[test]
+fn budget_of_service() {
+    let now = Instant::now();
+    let budgets = Budgets::new(now);
+    let spent = (0..=FLOOR)
+        .filter(|_| budgets.budget("a").spend(now))
+        .count();
+    assert_eq!(spent, FLOOR);
+    assert!(budgets.budget("b").spend(now));
+}
+
+proptest! {
+    /// Retries stay below a tenth of the first attempts plus the floor of each second.
+    #[test]
+    fn budget_bound(calls in proptest::collection::vec((0_u64..50, 0_usize..4), 1..2000)) {
+        let origin = Instant::now();
+        let budget = Budget::new(origin);
+        let mut now = origin;
+        let mut retries = 0;
+        for (pause_ms, wanted) in &calls {
+            now += Duration::from_millis(*pause_ms);
+            budget.earn();
+            retries += (0..*wanted).filter(|_| budget.spend(now)).count();
+        }
+        let seconds = usize::try_from((now - origin).as_secs()).unwrap_or(usize::MAX);
+        prop_assert!(retries <= calls.len() / 10 + FLOOR * (seconds + 1));
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-core/tests/routing/main.rs
@@ -0,0 +1,5 @@
+//! Choice of endpoints.
+
+mod fixture;
+mod local;
+mod observation;
--- a/crates/lentilshunt-node/src/entry/mod.rs
+++ b/crates/lentilshunt-node/src/entry/mod.rs
@@ -1,9 +1,22 @@
 //! Takes calls of callers and sends attempts to executing nodes.
 
-mod dispatch;
+mod attempt;
+mod dispatcher;
+mod guard;
 mod handler;
+mod notice;
 mod reader;
 mod remote;
 
+pub use dispatcher::Dispatcher;
+pub use guard::Guard;
 pub use handler::Entry;
+pub use notice::Notice;
 pub use remote::Remote;
+
+use std::time::Instant;
+
+/// Returns the present instant of the runtime, which tests may pause.
+fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
--- a/crates/lentilshunt-node/src/entry/remote.rs
+++ b/crates/lentilshunt-node/src/entry/remote.rs
@@ -7,7 +7,9 @@
 
 use bytes::Bytes;
 use hyper::{Method, Request, Uri};
-use lentilshunt_core::{id::RequestId, membership::Endpoint, verdict::Reason};
+use lentilshunt_core::{
+    id::RequestId, membership::Endpoint, quarantine::fingerprint, verdict::Reason,
+};
 use lentilshunt_net::{
     Pending,
     call::{Call, Executor, Reply, read_reply, write_call},
@@ -15,6 +17,7 @@
 };
 use lentilshunt_schema::call::{Resolution, Resolve};
 
+use super::notice::FINGERPRINT;
 use crate::{context::Context, peer::path};
 
 /// Longest wait for the answer to a resolution.
@@ -38,9 +41,14 @@
     }
 
     async fn send(&self, endpoint: &Endpoint, call: &Call) -> Reply {
-        let Ok(request) = write_call(path::CALL, call, Instant::now()) else {
+        let Ok(mut request) = write_call(path::CALL, call, Instant::now()) else {
             return Reply::refused(Reason::BadRequest);
         };
+        let method = call.method.as_str();
+        let fingerprint = fingerprint(&call.service, method, &call.path, &call.body);
+        if let Ok(value) = format!("{fingerprint:x}").parse() {
+            request.headers_mut().insert(FINGERPRINT, value);
+        }
         let exchange = Exchange {
             address: endpoint.address,
             deadline: call.deadline,
--- a/crates/lentilshunt-node/src/shell/mod.rs
+++ b/crates/lentilshunt-node/src/shell/mod.rs
@@ -11,7 +11,8 @@
 use lentilshunt_core::{
     dissemination::{Event, Poll},
     membership::Owner,
-    routing::{Nearest, Place},
+    quarantine::Suspects,
+    routing::{self, Place},
 };
 use lentilshunt_net::{
     history::{Writer, event, now_us},
@@ -28,7 +29,7 @@
     admin::Admin,
     context::Context,
     control::Control,
-    entry::{Entry, Remote},
+    entry::{Dispatcher, Entry, Guard, Remote},
     executor::Local,
     peer::Peer,
 };
@@ -53,7 +54,11 @@
     let remote = Arc::new(Remote::new(Arc::clone(&context)));
     let control = control(&context, events.clone())?;
     let peer = Peer::new(Arc::clone(&context), Arc::clone(&local), events.clone());
-    let entry = Entry::new(Arc::clone(&context), local, remote, Arc::new(Nearest));
+    let suspects = Arc::new(Suspects::new(Instant::now()));
+    let peer = Guard::new(Arc::clone(&context), Arc::clone(&suspects), peer);
+    let policy = Arc::new(routing::Local);
+    let dispatcher = Dispatcher::new(Arc::clone(&context), local, remote, policy, suspects);
+    let entry = Entry::new(Arc::clone(&context), dispatcher);
     let admin = Admin::new(Arc::clone(&context), metrics);
 
     let closed = CancellationToken::new();
--- /dev/null
+++ b/crates/lentilshunt-node/tests/entry/fixture.rs
@@ -0,0 +1,226 @@
+//! Fake executing nodes and a dispatcher in front of them.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, StatusCode};
+use lentilshunt_core::{
+    config::{Service, Snapshot},
+    id::RequestId,
+    membership::{Endpoint, Phase, Record, View},
+    quarantine::Suspects,
+    routing::{Local, Place, Table},
+    verdict::{Reason, Verdict},
+};
+use lentilshunt_net::{
+    Pending,
+    call::{Call, Executor, Reply},
+    history::Writer,
+    http::Pool,
+    log,
+};
+use lentilshunt_node::{context::Context, entry::Dispatcher};
+use lentilshunt_schema::{call::Resolution, ini, settings};
+use tokio_util::sync::CancellationToken;
+
+/// Time for which every call may take.
+pub const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What an executing node does with an attempt.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Replies with a verdict and a reason after a time.
+    Reply(Duration, Verdict, Option<Reason>),
+    /// Stays silent.
+    Silent,
+}
+
+/// What an executing node says of an attempt.
+pub type Told = Option<Resolution>;
+
+/// Executing nodes with one script for all, that note what they were asked.
+#[derive(Debug, Default)]
+pub struct Script {
+    pub steps: Mutex<VecDeque<Step>>,
+    pub resolutions: Mutex<VecDeque<Told>>,
+    /// What each instance does instead of the next step.
+    pub by_instance: Mutex<BTreeMap<String, Step>>,
+    pub executed: Mutex<Vec<String>>,
+    pub asked: Mutex<Vec<String>>,
+}
+
+/// Time that a question to a gone or frozen node takes.
+const UNASKED: Duration = Duration::from_millis(500);
+
+impl Executor for Script {
+    fn execute(&self, endpoint: Arc<Endpoint>, _call: Arc<Call>) -> Pending<'_, Reply> {
+        let instance = endpoint.instance.clone();
+        let by_instance = self.by_instance.lock().unwrap().get(&instance).cloned();
+        self.executed.lock().unwrap().push(instance);
+        let step = by_instance.or_else(|| self.steps.lock().unwrap().pop_front());
+        Box::pin(async move {
+            match step.unwrap_or(ANSWER) {
+                Step::Reply(after, verdict, reason) => {
+                    tokio::time::sleep(after).await;
+                    reason.map_or_else(answer, |reason| Reply::failed(verdict, reason))
+                }
+                Step::Silent => std::future::pending().await,
+            }
+        })
+    }
+
+    fn resolve(
+        &self,
+        endpoint: Arc<Endpoint>,
+        _request: RequestId,
+    ) -> Pending<'_, Option<(Resolution, Option<Reply>)>> {
+        self.asked.lock().unwrap().push(endpoint.instance.clone());
+        let told = self.resolutions.lock().unwrap().pop_front().flatten();
+        Box::pin(async move {
+            let Some(resolution) = told else {
+                tokio::time::sleep(UNASKED).await;
+                return None;
+            };
+            let answered = resolution == Resolution::Answered;
+            Some((resolution, answered.then(answer)))
+        })
+    }
+}
+
+/// An answer at once.
+pub const ANSWER: Step = Step::Reply(Duration::ZERO, Verdict::Ran, None);
+
+/// Returns a failure at once.
+pub const fn fail(verdict: Verdict, reason: Reason) -> Step {
+    Step::Reply(Duration::ZERO, verdict, Some(reason))
+}
+
+/// Returns the answer of an upstream.
+pub fn answer() -> Reply {
+    Reply {
+        verdict: Verdict::Ran,
+        reason: None,
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(b"answer"),
+        room: None,
+    }
+}
+
+/// A dispatcher on an instance without an upstream, and the nodes that it calls.
+pub struct Fixture {
+    pub dispatcher: Dispatcher,
+    pub script: Arc<Script>,
+}
+
+impl Fixture {
+    /// Creates a fixture with `count` endpoints.
+    pub fn new(count: usize) -> Self {
+        Self::with_suspects(count, Arc::new(Suspects::new(Instant::now())))
+    }
+
+    pub fn with_suspects(count: usize, suspects: Arc<Suspects>) -> Self {
+        let script = Arc::new(Script::default());
+        let context = context(count);
+        let local: Arc<dyn Executor> = Arc::<Script>::default();
+        let remote: Arc<dyn Executor> = Arc::clone(&script) as _;
+        Self {
+            dispatcher: Dispatcher::new(context, local, remote, Arc::new(Local), suspects),
+            script,
+        }
+    }
+
+    pub fn steps(self, steps: &[Step]) -> Self {
+        self.script.steps.lock().unwrap().extend(steps.to_vec());
+        self
+    }
+
+    pub fn resolutions(self, told: &[Told]) -> Self {
+        self.script
+            .resolutions
+            .lock()
+            .unwrap()
+            .extend(told.to_vec());
+        self
+    }
+
+    /// Dispatches a call and returns its verdict and reason.
+    pub async fn call(&self, idempotent: bool) -> (Verdict, Option<Reason>) {
+        self.call_path("/path", idempotent).await
+    }
+
+    pub async fn call_path(&self, path: &str, idempotent: bool) -> (Verdict, Option<Reason>) {
+        let call = Call {
+            request: "id".to_owned(),
+            service: "s".to_owned(),
+            caller: "c".to_owned(),
+            method: Method::GET,
+            path: path.to_owned(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            idempotent,
+            key: None,
+            deadline: tokio::time::Instant::now().into_std() + TIMEOUT,
+        };
+        let reply = self.dispatcher.dispatch(Arc::new(call)).await;
+        if reply.verdict == Verdict::Ran {
+            assert_eq!(reply.body, answer().body);
+        }
+        (reply.verdict, reply.reason)
+    }
+
+    /// Returns how many attempts and questions there were.
+    pub fn counts(&self) -> (usize, usize) {
+        let executed = self.script.executed.lock().unwrap().len();
+        (executed, self.script.asked.lock().unwrap().len())
+    }
+}
+
+fn context(count: usize) -> Arc<Context> {
+    let text = "[instance]\nname = own\nregion = r\ndomain = d\n\
+        [listen]\ncallers = 127.0.0.1:7000\npeers = 127.0.0.1:7001\nadmin = 127.0.0.1:7002\n\
+        [platform]\naddress = 127.0.0.1:7100\n[log]\nlevel = error\n";
+    let settings: settings::Node =
+        ini::read("Node", "test", text.as_bytes()).expect("valid settings");
+    let place = Place::new("own".to_owned(), "d".to_owned(), "r".to_owned());
+    let log = log::logger(&settings.log, "own");
+    Arc::new(Context {
+        routes: ArcSwap::from_pointee(table(count, &place)),
+        place,
+        incarnation: 1,
+        pool: Arc::new(Pool::default()),
+        stop: CancellationToken::new(),
+        history: Writer::open("", "test", 1).expect("no file"),
+        log,
+        settings,
+    })
+}
+
+fn table(count: usize, place: &Place) -> Table {
+    let mut snapshot = Snapshot::default();
+    snapshot.topology.regions.insert("r".to_owned());
+    let domains = &mut snapshot.topology.domains;
+    domains.insert("d".to_owned(), "r".to_owned());
+    snapshot.services.insert("s".to_owned(), Service::default());
+    let records: Vec<Record> = (1..=count)
+        .map(|index| Record {
+            instance: format!("i{index}"),
+            // A port that nothing listens on, for the notices of suspicions.
+            address: "127.50.0.1:1".to_owned(),
+            region: "r".to_owned(),
+            domain: "d".to_owned(),
+            incarnation: 1,
+            sequence: 1,
+            service: "s".to_owned(),
+            phase: Phase::Ready,
+            slots: 8,
+            room: 8,
+        })
+        .collect();
+    Table::new(1, &snapshot, &View::new(&records), place)
+}
--- /dev/null
+++ b/crates/lentilshunt-node/tests/entry/quarantine.rs
@@ -0,0 +1,65 @@
+//! Requests that crash upstreams.
+
+use std::{
+    collections::BTreeSet,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use lentilshunt_core::{
+    quarantine::Suspects,
+    verdict::{Reason, Verdict},
+};
+
+use super::fixture::{ANSWER, Fixture, Step, fail};
+
+const CRASH: Step = fail(Verdict::MayHaveRun, Reason::UpstreamLost);
+const RAN: (Verdict, Option<Reason>) = (Verdict::Ran, None);
+const QUARANTINED: Option<Reason> = Some(Reason::Quarantined);
+
+/// A request that crashes every upstream fells two, however often it is sent.
+#[tokio::test(start_paused = true)]
+async fn dispatch_crash_repeated() {
+    let suspects = Arc::new(Suspects::new(Instant::now()));
+    let nodes = [(); 3].map(|()| Fixture::with_suspects(6, Arc::clone(&suspects)));
+    let mut felled = 0;
+    for round in 0..4 {
+        for node in &nodes {
+            let crashes = vec![CRASH; 4];
+            *node.script.steps.lock().unwrap() = crashes.into();
+            let (verdict, reason) = node.call_path("/crash", true).await;
+            let first = round == 0 && felled == 0;
+            let expected = if first {
+                Verdict::MayHaveRun
+            } else {
+                Verdict::NotRun
+            };
+            assert_eq!((verdict, reason), (expected, QUARANTINED));
+            felled += node.counts().0;
+            node.script.executed.lock().unwrap().clear();
+        }
+    }
+    assert_eq!(felled, 2);
+}
+
+/// A companion of the crash is answered by the next upstream, and is free from then on.
+#[tokio::test(start_paused = true)]
+async fn dispatch_crash_companion() {
+    let fixture = Fixture::new(6).steps(&[CRASH, ANSWER, CRASH]);
+    assert_eq!(fixture.call_path("/companion", true).await, RAN);
+    assert_eq!(fixture.call_path("/companion", true).await, RAN);
+    let executed = fixture.script.executed.lock().unwrap().clone();
+    assert_eq!(executed.len(), 4);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(fixture.call_path("/companion", true).await, RAN);
+}
+
+/// A request that may run once is not repeated after a crash, not even on the second upstream.
+#[tokio::test(start_paused = true)]
+async fn dispatch_crash_not_idempotent() {
+    let fixture = Fixture::new(6).steps(&[CRASH]);
+    let expected = (Verdict::MayHaveRun, Some(Reason::UpstreamLost));
+    assert_eq!(fixture.call_path("/once", false).await, expected);
+    let executed = fixture.script.executed.lock().unwrap().clone();
+    assert_eq!(BTreeSet::from_iter(executed).len(), 1);
+}
