feat(http): retire silent connections, bound connections and refuse answers of unknown length

A connection that stayed silent left its idle neighbours in the pool, a request met by a closing idle connection failed, and an answer that ended with its connection passed as whole when it was cut. Idle neighbours of a silent connection are now retired, an unsent request moves to a new connection, and such answers are errors. Questions about lost attempts use a new connection. Connects take at most 500 ms, and a node opens at most 110 connections to one server.

Ruled out: a stack of idle connections, since the queue library has none; a short hot queue before a cold one lets the connections of a burst expire.

--- a/crates/lentilshunt-net/src/http/error.rs
+++ b/crates/lentilshunt-net/src/http/error.rs
@@ -39,6 +39,20 @@
         /// Error of the connection.
         source: hyper::Error,
     },
+    /// As many connections as allowed are open, so the request was not sent.
+    #[snafu(display("{limit} connections to {address} are open"))]
+    Crowded {
+        /// Address of the server.
+        address: SocketAddr,
+        /// Connections that may be open.
+        limit: u32,
+    },
+    /// The answer does not tell its length, so it cannot be known to be whole.
+    #[snafu(display("answer of {address} does not tell its length"))]
+    Unbounded {
+        /// Address of the server.
+        address: SocketAddr,
+    },
     /// The deadline passed before the whole answer arrived.
     #[snafu(display("no whole answer of {address} before the deadline"))]
     Timeout {
@@ -60,12 +74,14 @@
     #[must_use]
     pub fn verdict(&self) -> Verdict {
         match self {
-            Self::Connect { .. } | Self::ConnectTimeout { .. } | Self::NotSent { .. } => {
-                Verdict::NotRun
-            }
-            Self::Broken { .. } | Self::Timeout { .. } | Self::TooLarge { .. } => {
-                Verdict::MayHaveRun
-            }
+            Self::Connect { .. }
+            | Self::ConnectTimeout { .. }
+            | Self::NotSent { .. }
+            | Self::Crowded { .. } => Verdict::NotRun,
+            Self::Broken { .. }
+            | Self::Timeout { .. }
+            | Self::TooLarge { .. }
+            | Self::Unbounded { .. } => Verdict::MayHaveRun,
         }
     }
 
@@ -76,6 +92,8 @@
             Self::Connect { .. } | Self::ConnectTimeout { .. } | Self::NotSent { .. } => {
                 Reason::Unreachable
             }
+            Self::Crowded { .. } => Reason::NoRoom,
+            Self::Unbounded { .. } => Reason::BadAnswer,
             Self::Broken { .. } => Reason::ConnectionLost,
             Self::Timeout { .. } => Reason::Deadline,
             Self::TooLarge { .. } => Reason::TooLarge,
--- a/crates/lentilshunt-net/src/http/mod.rs
+++ b/crates/lentilshunt-net/src/http/mod.rs
@@ -6,6 +6,7 @@
 mod lane;
 mod pool;
 mod server;
+mod silence;
 
 pub use error::Error;
 pub use exchange::Exchange;
--- a/crates/lentilshunt-net/src/http/pool.rs
+++ b/crates/lentilshunt-net/src/http/pool.rs
@@ -5,15 +5,20 @@
     io,
     net::{IpAddr, SocketAddr},
     sync::Arc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, Response, client::conn::http1};
+use hyper::{
+    Request, Response,
+    body::{Body, Incoming},
+    client::conn::http1,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
 use hyper_util::rt::TokioIo;
-use snafu::ResultExt;
+use snafu::{OptionExt, ResultExt};
 use tokio::{
     net::{TcpSocket, TcpStream},
     time::timeout_at,
@@ -22,28 +27,63 @@
 use super::{
     Error, Exchange,
     error::{
-        BrokenSnafu, ConnectSnafu, ConnectTimeoutSnafu, NotSentSnafu, TimeoutSnafu, TooLargeSnafu,
+        BrokenSnafu, ConnectSnafu, ConnectTimeoutSnafu, CrowdedSnafu, NotSentSnafu, TimeoutSnafu,
+        TooLargeSnafu, UnboundedSnafu,
     },
-    lane::{Lane, Sender},
+    lane::{Lane, Sender, Slot},
+    silence::Watch,
 };
 
+/// Connections that a node opens to one server.
+const CONNECTIONS: u32 = 110;
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Client connections to many servers, one request at a time on each.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
     source: Option<IpAddr>,
+    connections: u32,
     lanes: ArcSwap<HashMap<SocketAddr, Arc<Lane>>>,
 }
 
+impl Default for Pool {
+    /// Creates a pool without a limit of connections.
+    fn default() -> Self {
+        Self {
+            source: None,
+            connections: u32::MAX,
+            lanes: ArcSwap::default(),
+        }
+    }
+}
+
+/// A request that a connection gave no answer to.
+struct Unanswered {
+    /// The request, when it was not sent.
+    unsent: Option<Request<Full<Bytes>>>,
+    /// Error of the connection.
+    source: hyper::Error,
+}
+
 impl Pool {
     /// Creates a pool whose connections come from an address of this instance.
     #[must_use]
     pub fn from_source(source: IpAddr) -> Self {
         Self {
             source: Some(source),
+            connections: CONNECTIONS,
             ..Self::default()
         }
     }
 
+    /// Limits the connections that are open to one server at a time.
+    #[must_use]
+    pub fn with_connections(mut self, connections: u32) -> Self {
+        self.connections = connections;
+        self
+    }
+
     /// Sends a request and returns its answer with the whole body.
     ///
     /// A truncated body is an error. Dropping the future closes the
@@ -60,19 +100,53 @@
     ) -> Result<Response<Bytes>, Error> {
         let lane = self.lane(exchange.address);
         let request = request.map(Full::new);
-        let mut sender = match lane.take(Instant::now()) {
-            Some(sender) => sender,
-            None => self.connect(exchange).await?,
+        let Some(sender) = lane.take(Instant::now()) else {
+            let sender = self.connect(&lane, exchange).await?;
+            return finish(&lane, exchange, sender, request).await;
         };
-        let answer = within(exchange, send(&mut sender, exchange, request)).await?;
-        lane.give_back(sender, Instant::now());
-        Ok(answer)
+        let watch = Watch::new(Arc::clone(&lane), Instant::now());
+        match attempt(exchange, sender, request).await? {
+            (sender, Ok(answer)) => {
+                let answer = receive(exchange, answer).await?;
+                watch.end();
+                lane.give_back(sender, Instant::now());
+                Ok(answer)
+            }
+            (_closed, Err(unanswered)) => {
+                watch.end();
+                let address = exchange.address;
+                let Some(unsent) = unanswered.unsent else {
+                    return Err(unanswered.source).context(BrokenSnafu { address });
+                };
+                // The connection was closed while it was idle.
+                let sender = self.connect(&lane, exchange).await?;
+                finish(&lane, exchange, sender, unsent).await
+            }
+        }
+    }
+
+    /// Sends a request as [`Pool::exchange`] does, but over a new connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Pool::exchange`].
+    pub async fn exchange_fresh(
+        &self,
+        exchange: Exchange,
+        request: Request<Bytes>,
+    ) -> Result<Response<Bytes>, Error> {
+        let lane = self.lane(exchange.address);
+        let sender = self.connect(&lane, exchange).await?;
+        finish(&lane, exchange, sender, request.map(Full::new)).await
     }
 
-    async fn connect(&self, exchange: Exchange) -> Result<Sender, Error> {
+    async fn connect(&self, lane: &Arc<Lane>, exchange: Exchange) -> Result<Sender, Error> {
         let address = exchange.address;
+        let limit = self.connections;
+        let slot = lane.open(limit).context(CrowdedSnafu { address, limit })?;
         let opening = open(self.source, address);
-        let stream = timeout_at(exchange.deadline.into(), opening)
+        let until = exchange.deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let stream = timeout_at(until.into(), opening)
             .await
             .map_err(|_elapsed| ConnectTimeoutSnafu { address }.build())?
             .context(ConnectSnafu { address })?;
@@ -80,7 +154,7 @@
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .context(NotSentSnafu { address })?;
-        tokio::spawn(connection);
+        tokio::spawn(drive(connection, slot));
         Ok(sender)
     }
 
@@ -111,20 +185,73 @@
     socket.connect(address).await
 }
 
-async fn send(
-    sender: &mut Sender,
+/// Runs a connection to its end, which frees its place.
+async fn drive(connection: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>, slot: Slot) {
+    // The exchange in flight is told of a failure.
+    drop(connection.await);
+    drop(slot);
+}
+
+/// Sends a request over a new connection and returns its answer with the whole body.
+async fn finish(
+    lane: &Arc<Lane>,
     exchange: Exchange,
+    sender: Sender,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Bytes>, Error> {
     let address = exchange.address;
-    let answer = match sender.send_request(request).await {
-        Ok(answer) => answer,
-        Err(error) if error.is_canceled() => return Err(error).context(NotSentSnafu { address }),
-        Err(error) => return Err(error).context(BrokenSnafu { address }),
+    let watch = Watch::new(Arc::clone(lane), Instant::now());
+    let (sender, sent) = attempt(exchange, sender, request).await?;
+    let answer = match sent {
+        Ok(answer) => receive(exchange, answer).await?,
+        Err(Unanswered { unsent, source }) => {
+            watch.end();
+            return match unsent {
+                Some(_unsent) => Err(source).context(NotSentSnafu { address }),
+                None => Err(source).context(BrokenSnafu { address }),
+            };
+        }
     };
+    watch.end();
+    lane.give_back(sender, Instant::now());
+    Ok(answer)
+}
+
+/// Sends a request and waits for the head of its answer.
+async fn attempt(
+    exchange: Exchange,
+    mut sender: Sender,
+    request: Request<Full<Bytes>>,
+) -> Result<(Sender, Result<Response<Incoming>, Unanswered>), Error> {
+    let address = exchange.address;
+    let sending = sender.try_send_request(request);
+    let sent = timeout_at(exchange.deadline.into(), sending)
+        .await
+        .map_err(|_elapsed| TimeoutSnafu { address }.build())?;
+    let answer = sent.map_err(|mut error| Unanswered {
+        unsent: error.take_message(),
+        source: error.into_error(),
+    });
+    Ok((sender, answer))
+}
+
+/// Receives the whole body of an answer.
+async fn receive(exchange: Exchange, answer: Response<Incoming>) -> Result<Response<Bytes>, Error> {
+    let Exchange {
+        address,
+        deadline,
+        limit,
+    } = exchange;
     let (parts, body) = answer.into_parts();
-    let limit = exchange.limit;
-    let body = match Limited::new(body, limit).collect().await {
+    let has_length = [CONTENT_LENGTH, TRANSFER_ENCODING]
+        .iter()
+        .any(|name| parts.headers.contains_key(name));
+    if !has_length && !body.is_end_stream() {
+        return UnboundedSnafu { address }.fail();
+    }
+    let collected = timeout_at(deadline.into(), Limited::new(body, limit).collect()).await;
+    let collected = collected.map_err(|_elapsed| TimeoutSnafu { address }.build())?;
+    let body = match collected {
         Ok(body) => body.to_bytes(),
         Err(error) => {
             return match error.downcast::<hyper::Error>() {
@@ -135,14 +262,3 @@
     };
     Ok(Response::from_parts(parts, body))
 }
-
-async fn within<T>(
-    exchange: Exchange,
-    work: impl Future<Output = Result<T, Error>>,
-) -> Result<T, Error> {
-    let address = exchange.address;
-    match timeout_at(exchange.deadline.into(), work).await {
-        Ok(result) => result,
-        Err(_elapsed) => TimeoutSnafu { address }.fail(),
-    }
-}
--- a/crates/lentilshunt-net/src/http/server.rs
+++ b/crates/lentilshunt-net/src/http/server.rs
@@ -12,6 +12,12 @@
 /// Pause after the listener failed to accept, for example without free descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Longest wait for the whole head of a request, also on an idle connection.
+///
+/// Clients give up idle connections earlier, so that none is closed while a
+/// request is on its way.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// A server that answers requests by a [`Handler`] until it is stopped.
 #[derive(Debug)]
 pub struct Server {
@@ -71,6 +77,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
--- a/crates/lentilshunt-node/src/entry/remote.rs
+++ b/crates/lentilshunt-node/src/entry/remote.rs
@@ -77,7 +77,8 @@
             deadline: Instant::now() + RESOLVE_TIMEOUT,
             limit: self.limit(),
         };
-        let response = self.context.pool.exchange(exchange, request).await.ok()?;
+        let answered = self.context.pool.exchange_fresh(exchange, request).await;
+        let response = answered.ok()?;
         let resolution = response.headers().get(path::RESOLUTION)?.to_str().ok()?;
         let resolution: Resolution = resolution.parse().ok()?;
         Some((resolution, read_reply(response)))
