--- a/crates/lentilshunt-node/src/entry/attempt.rs
+++ b/crates/lentilshunt-node/src/entry/attempt.rs
@@ -154,8 +154,8 @@
     /// Asks the executing node over a fresh connection.
     async fn ask(&self) -> Settled {
         let endpoint = Arc::clone(self.endpoint);
-        let request = self.call.request.clone();
-        let resolved = self.executor.resolve(endpoint, request).await;
+        let call = Arc::clone(self.call);
+        let resolved = self.executor.resolve(endpoint, call).await;
         let label = match &resolved {
             Some((resolution, _)) => resolution.to_string(),
             None => "unasked".to_owned(),
--- a/crates/lentilshunt-node/src/entry/remote.rs
+++ b/crates/lentilshunt-node/src/entry/remote.rs
@@ -7,12 +7,10 @@
 
 use bytes::Bytes;
 use hyper::{Method, Request, Uri};
-use lentilshunt_core::{
-    id::RequestId, membership::Endpoint, quarantine::fingerprint, verdict::Reason,
-};
+use lentilshunt_core::{membership::Endpoint, quarantine::fingerprint, verdict::Reason};
 use lentilshunt_net::{
     Pending,
-    call::{Call, Executor, Reply, read_reply, write_call},
+    call::{Call, Executor, Reply, read_reply, remaining_ms, write_attempt},
     http::Exchange,
 };
 use lentilshunt_schema::call::{Resolution, Resolve};
@@ -41,7 +39,9 @@
     }
 
     async fn send(&self, endpoint: &Endpoint, call: &Call) -> Reply {
-        let Ok(mut request) = write_call(path::CALL, call, Instant::now()) else {
+        let incarnation = endpoint.incarnation;
+        let now = Instant::now();
+        let Ok(mut request) = write_attempt(path::CALL, call, incarnation, now) else {
             return Reply::refused(Reason::BadRequest);
         };
         let method = call.method.as_str();
@@ -62,12 +62,15 @@
         }
     }
 
-    async fn ask(
-        &self,
-        endpoint: &Endpoint,
-        request: RequestId,
-    ) -> Option<(Resolution, Option<Reply>)> {
-        let resolve = Resolve { request };
+    async fn ask(&self, endpoint: &Endpoint, call: &Call) -> Option<(Resolution, Option<Reply>)> {
+        let resolve = Resolve {
+            request: call.request.clone(),
+            incarnation: endpoint.incarnation,
+            remaining_ms: remaining_ms(call.deadline, Instant::now()),
+            // The ledger holds no idempotent request; the question only tells
+            // whether the node answers.
+            bar: !call.idempotent,
+        };
         let body = rmp_serde::to_vec_named(&resolve).ok()?;
         let mut request = Request::new(Bytes::from(body));
         *request.method_mut() = Method::POST;
@@ -93,8 +96,8 @@
     fn resolve(
         &self,
         endpoint: Arc<Endpoint>,
-        request: RequestId,
+        call: Arc<Call>,
     ) -> Pending<'_, Option<(Resolution, Option<Reply>)>> {
-        Box::pin(async move { self.ask(&endpoint, request).await })
+        Box::pin(async move { self.ask(&endpoint, &call).await })
     }
 }
--- a/crates/lentilshunt-node/tests/entry/fixture.rs
+++ b/crates/lentilshunt-node/tests/entry/fixture.rs
@@ -11,7 +11,6 @@
 use hyper::{HeaderMap, Method, StatusCode};
 use lentilshunt_core::{
     config::{Service, Snapshot},
-    id::RequestId,
     membership::{Endpoint, Phase, Record, View},
     quarantine::Suspects,
     routing::{Local, Place, Table},
@@ -77,7 +76,7 @@
     fn resolve(
         &self,
         endpoint: Arc<Endpoint>,
-        _request: RequestId,
+        _call: Arc<Call>,
     ) -> Pending<'_, Option<(Resolution, Option<Reply>)>> {
         self.asked.lock().unwrap().push(endpoint.instance.clone());
         let told = self.resolutions.lock().unwrap().pop_front().flatten();
