feat(standin): relay links, limit connections, cancel and drain

The upstream records starts, drains and cancelled runs, honours deadlines and its connection limit, and can drain without a stop. A platform write takes effect also when its client has gone.

--- a/crates/lentilshunt-node/src/shell/mod.rs
+++ b/crates/lentilshunt-node/src/shell/mod.rs
@@ -47,7 +47,9 @@
 pub async fn run(settings: settings::Node, log: Logger, stop: CancellationToken) -> io::Result<()> {
     let metrics = meter::install();
     let context = Arc::new(context(settings, log, stop)?);
-    context.history.write(event(Kind::Started));
+    let mut started = event(Kind::Started);
+    started.detail = Some(context.settings.listen.callers.clone());
+    context.history.write(started);
     let (events, received) = mpsc::channel(QUEUE_EVENTS);
     let local = Arc::new(Local::new(Arc::clone(&context)));
     let remote = Arc::new(Remote::new(Arc::clone(&context)));
--- /dev/null
+++ b/crates/lentilshunt-standin/src/bin/link.rs
@@ -0,0 +1,38 @@
+//! The link stand-in: relays TCP between failure domains with latency and cuts.
+
+use std::{process::ExitCode, sync::Arc};
+
+use lentilshunt_net::http::Server;
+use lentilshunt_schema::settings;
+use lentilshunt_standin::{link::Admin, start};
+use tokio_util::sync::CancellationToken;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let options = start::options().run();
+    let settings: settings::Link = match start::settings("Link", &options) {
+        Ok(settings) => settings,
+        Err(problems) => {
+            eprintln!("{problems}");
+            return ExitCode::from(2);
+        }
+    };
+    if options.check_settings {
+        return ExitCode::SUCCESS;
+    }
+    let address = settings.listen.address.parse().expect("checked by schema");
+    let server = match Server::bind(address, Arc::new(Admin::default())).await {
+        Ok(server) => server,
+        Err(error) => {
+            eprintln!("cannot listen on {address}: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let stop = CancellationToken::new();
+    tokio::spawn(start::stop_on_signal(stop.clone()));
+    server.run(stop).await;
+    ExitCode::SUCCESS
+}
--- a/crates/lentilshunt-standin/src/platform/handler.rs
+++ b/crates/lentilshunt-standin/src/platform/handler.rs
@@ -2,13 +2,13 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, http::request::Parts};
 use lentilshunt_net::{
     Pending,
     http::{Handler, empty, whole},
@@ -24,7 +24,7 @@
 /// The platform stand-in.
 #[derive(Debug)]
 pub struct Platform {
-    state: Mutex<State>,
+    state: Arc<Mutex<State>>,
 }
 
 #[derive(Debug)]
@@ -54,6 +54,7 @@
             objects: BTreeMap::new(),
             fault: Fault {
                 down: false,
+                objects_down: false,
                 delay_ms: 0,
                 lose_replies: 0,
                 lose_requests: 0,
@@ -69,14 +70,10 @@
             writes: Capacity::new(capacity.writes_per_second.get(), now),
         };
         Self {
-            state: Mutex::new(state),
+            state: Arc::new(Mutex::new(state)),
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let (parts, body) = request.into_parts();
         let Ok(body) = body.collect().await else {
@@ -87,25 +84,20 @@
         if path.starts_with("/admin/") {
             return self.admin(&parts.method, path, &body);
         }
-        let is_write = parts.method != Method::GET;
-        let delay = self.lock().fault.delay_ms;
-        if delay > 0 {
-            tokio::time::sleep(Duration::from_millis(delay)).await;
-        }
-        let admission = self.lock().admit(is_write, body.len());
-        match admission {
-            Admission::Refuse(status) => empty(status),
-            Admission::LoseRequest => std::future::pending().await,
-            Admission::LoseReply => {
-                drop(self.lock().serve(&parts.method, path, body));
-                std::future::pending().await
-            }
-            Admission::Serve => self.lock().serve(&parts.method, path, body),
+        let state = Arc::clone(&self.state);
+        // A request that has arrived takes effect also when its client has gone.
+        let served = tokio::spawn(async move { serve(&state, &parts, body).await });
+        let Ok(served) = served.await else {
+            return empty(StatusCode::INTERNAL_SERVER_ERROR);
+        };
+        match served {
+            Some(response) => response,
+            None => std::future::pending().await,
         }
     }
 
     fn admin(&self, method: &Method, path: &str, body: &[u8]) -> Response<Full<Bytes>> {
-        let mut state = self.lock();
+        let mut state = lock(&self.state);
         match (method, path) {
             (&Method::GET, "/admin/usage") => encode(&state.usage),
             (&Method::POST, "/admin/fault") => match rmp_serde::from_slice(body) {
@@ -126,8 +118,33 @@
     }
 }
 
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Serves a request, or returns none when the request or its reply is lost.
+async fn serve(state: &Mutex<State>, parts: &Parts, body: Bytes) -> Option<Response<Full<Bytes>>> {
+    let path = parts.uri.path();
+    let is_write = parts.method != Method::GET;
+    let is_object = path.starts_with("/object/");
+    let delay = lock(state).fault.delay_ms;
+    if delay > 0 {
+        tokio::time::sleep(Duration::from_millis(delay)).await;
+    }
+    let mut state = lock(state);
+    match state.admit(is_write, is_object, body.len()) {
+        Admission::Refuse(status) => Some(empty(status)),
+        Admission::LoseRequest => None,
+        Admission::LoseReply => {
+            drop(state.serve(&parts.method, path, body));
+            None
+        }
+        Admission::Serve => Some(state.serve(&parts.method, path, body)),
+    }
+}
+
 impl State {
-    fn admit(&mut self, is_write: bool, bytes: usize) -> Admission {
+    fn admit(&mut self, is_write: bool, is_object: bool, bytes: usize) -> Admission {
         let now = Instant::now();
         self.usage.bytes_in += bytes as u64;
         let within = if is_write {
@@ -137,7 +154,8 @@
             self.usage.reads += 1;
             self.reads.take(now)
         };
-        if self.fault.down || !within {
+        let down = self.fault.down || (is_object && self.fault.objects_down);
+        if down || !within {
             self.usage.refused += 1;
             return Admission::Refuse(StatusCode::SERVICE_UNAVAILABLE);
         }
--- a/crates/lentilshunt-standin/src/upstream/handler.rs
+++ b/crates/lentilshunt-standin/src/upstream/handler.rs
@@ -1,22 +1,35 @@
 //! Runs requests.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, StatusCode, body::Incoming, http::request::Parts};
+use lentilshunt_core::verdict::{Reason, Verdict};
 use lentilshunt_net::{
     Pending,
     call::Name,
-    history::{Writer, event},
+    history::Writer,
     http::{Handler, empty, whole},
 };
-use lentilshunt_schema::{history::Kind, peer::Phase};
+use lentilshunt_schema::peer::Phase;
+use tokio::time::timeout_at;
 
-use super::state::State;
+use super::{run::Run, state::State};
 
 /// Header by which a request tells the stand-in to crash.
 const CRASH_HEADER: &str = "standin-crash";
+/// Header by which a request names the time that it runs, in microseconds.
+const RUN_HEADER: &str = "standin-run-us";
+/// Path by which a test begins a drain without a stop.
+const DRAIN_PATH: &str = "/.standin/drain";
+/// Path by which a test ends a drain.
+const READY_PATH: &str = "/.standin/ready";
+/// Longest wait of a request that names no deadline.
+const LONGEST_WAIT: Duration = Duration::from_mins(10);
 
 /// Runs requests in slots and records each run.
 #[derive(Debug)]
@@ -25,53 +38,45 @@
     history: Writer,
 }
 
-/// Counts a running request until it is dropped.
-struct Running<'a>(&'a State);
-
-impl Drop for Running<'_> {
-    fn drop(&mut self) {
-        self.0.end();
-    }
-}
-
 impl Upstream {
     pub(super) fn new(state: Arc<State>, history: Writer) -> Self {
         Self { state, history }
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let arrived_at = Instant::now();
         let (parts, body) = request.into_parts();
         let Ok(body) = body.collect().await else {
             return empty(StatusCode::BAD_REQUEST);
         };
-        let Ok(_slot) = self.state.slots.acquire().await else {
-            return empty(StatusCode::SERVICE_UNAVAILABLE);
+        match parts.uri.path() {
+            DRAIN_PATH => return self.enter(Phase::Draining),
+            READY_PATH => return self.enter(Phase::Ready),
+            _ => {}
+        }
+        let wait = number(&parts, Name::DEADLINE).map_or(LONGEST_WAIT, Duration::from_millis);
+        let deadline = arrived_at + wait;
+        let slot = timeout_at(deadline.into(), self.state.slots.acquire()).await;
+        let Ok(Ok(_slot)) = slot else {
+            return refusal(StatusCode::SERVICE_UNAVAILABLE, Verdict::NotRun);
         };
-        self.record(Kind::RunBegun, &parts);
-        self.state.begin();
-        let _running = Running(&self.state);
+        let run = Run::begin(&self.state, &self.history, &parts);
         if parts.headers.contains_key(CRASH_HEADER) {
             std::process::abort();
         }
-        tokio::time::sleep(self.state.run_time()).await;
-        self.record(Kind::RunEnded, &parts);
+        let usual = self.state.run_time();
+        let run_time = number(&parts, RUN_HEADER).map_or(usual, Duration::from_micros);
+        let work = tokio::time::sleep(run_time);
+        if timeout_at(deadline.into(), work).await.is_err() {
+            return refusal(StatusCode::GATEWAY_TIMEOUT, Verdict::MayHaveRun);
+        }
+        run.end();
         whole(StatusCode::OK, answer(&parts, &body.to_bytes()))
     }
 
-    fn record(&self, kind: Kind, parts: &Parts) {
-        if !self.history.is_enabled() {
-            return;
-        }
-        let text = |name| Some(parts.headers.get(name)?.to_str().ok()?.to_owned());
-        let mut event = event(kind);
-        event.request = text(Name::REQUEST);
-        event.key = text(Name::KEY);
-        event.service = Some(self.state.service().to_owned());
-        event.instance = Some(self.state.instance().to_owned());
-        if self.state.phase() == Phase::Draining {
-            event.detail = Some(Phase::Draining.to_string());
-        }
-        self.history.write(event);
+    fn enter(&self, phase: Phase) -> Response<Full<Bytes>> {
+        self.state.set_phase(phase, &self.history);
+        empty(StatusCode::OK)
     }
 }
 
@@ -81,6 +86,23 @@
     }
 }
 
+fn number(parts: &Parts, name: &str) -> Option<u64> {
+    parts.headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// Returns the answer to a request whose deadline passed, with its verdict.
+fn refusal(status: StatusCode, verdict: Verdict) -> Response<Full<Bytes>> {
+    let mut response = empty(status);
+    let mut set = |name: &'static str, value: String| {
+        if let Ok(value) = value.parse() {
+            response.headers_mut().insert(name, value);
+        }
+    };
+    set(Name::VERDICT, verdict.to_string());
+    set(Name::REASON, Reason::Deadline.to_string());
+    response
+}
+
 /// Returns the answer to a request, which is a function of the request alone.
 fn answer(parts: &Parts, body: &[u8]) -> Vec<u8> {
     let mut answer = format!("{} {}\n", parts.method, parts.uri.path()).into_bytes();
--- /dev/null
+++ b/crates/lentilshunt-standin/src/upstream/run.rs
@@ -0,0 +1,79 @@
+//! One run of a request.
+
+use hyper::http::request::Parts;
+use lentilshunt_net::{
+    call::Name,
+    history::{Writer, event},
+};
+use lentilshunt_schema::{
+    history::{Event, Kind},
+    peer::Phase,
+};
+
+use super::state::State;
+
+/// Header by which a caller names one attempt of a call.
+const ATTEMPT_HEADER: &str = "standin-attempt";
+
+/// A run that is under way; when it is dropped before its end, it was cancelled.
+#[derive(Debug)]
+pub(super) struct Run<'a> {
+    state: &'a State,
+    history: &'a Writer,
+    event: Event,
+    has_ended: bool,
+}
+
+impl<'a> Run<'a> {
+    /// Records the begin of a run before anything of it is done.
+    pub(super) fn begin(state: &'a State, history: &'a Writer, parts: &Parts) -> Self {
+        let run = Self {
+            state,
+            history,
+            event: description(state, parts),
+            has_ended: false,
+        };
+        run.record(Kind::RunBegun);
+        state.begin();
+        run
+    }
+
+    /// Records the end of the run.
+    pub(super) fn end(mut self) {
+        self.has_ended = true;
+        self.record(Kind::RunEnded);
+    }
+
+    fn record(&self, kind: Kind) {
+        if !self.history.is_enabled() {
+            return;
+        }
+        let mut event = self.event.clone();
+        event.at_us = lentilshunt_net::history::now_us();
+        event.kind = kind;
+        if self.state.phase() == Phase::Draining {
+            event.detail = Some(Phase::Draining.to_string());
+        }
+        self.history.write(event);
+    }
+}
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        self.state.end();
+        if !self.has_ended {
+            self.record(Kind::RunCancelled);
+        }
+    }
+}
+
+fn description(state: &State, parts: &Parts) -> Event {
+    let text = |name| Some(parts.headers.get(name)?.to_str().ok()?.to_owned());
+    let mut event = event(Kind::RunBegun);
+    event.request = text(Name::REQUEST);
+    event.key = text(Name::KEY);
+    event.attempt = text(ATTEMPT_HEADER);
+    event.service = Some(state.service().to_owned());
+    event.instance = Some(state.instance().to_owned());
+    event
+}
--- a/crates/lentilshunt-standin/src/upstream/state.rs
+++ b/crates/lentilshunt-standin/src/upstream/state.rs
@@ -8,12 +8,16 @@
     time::{Duration, Instant},
 };
 
+use lentilshunt_net::history::{Writer, event};
 use lentilshunt_schema::{
+    history::Kind,
     peer::{Announcement, Phase},
     settings,
 };
 use tokio::sync::Semaphore;
 
+use super::load::Load;
+
 /// How many times longer a request runs while the upstream is cold.
 const COLD_FACTOR: u32 = 10;
 /// Thousandths in a whole load.
@@ -28,6 +32,7 @@
     incarnation: u64,
     phase: Mutex<Phase>,
     running: AtomicU32,
+    load: Mutex<Load>,
     warm_at: Instant,
     /// Slots in which requests run.
     pub(super) slots: Semaphore,
@@ -43,6 +48,7 @@
             incarnation,
             phase: Mutex::new(Phase::Ready),
             running: AtomicU32::new(0),
+            load: Mutex::new(Load::new(Duration::from_millis(service.load_lag_ms))),
             warm_at: Instant::now() + cold,
             slots: Semaphore::new(service.slots.get() as usize),
             settings: service,
@@ -53,11 +59,9 @@
     pub(super) fn announcement(&self) -> Announcement {
         let slots = self.settings.slots.get();
         let running = self.running.load(Ordering::Relaxed).min(slots);
-        let load = if self.settings.mislead {
-            0
-        } else {
-            running * WHOLE_LOAD / slots
-        };
+        let mut load = self.load.lock().unwrap_or_else(PoisonError::into_inner);
+        let reported = load.report(running * WHOLE_LOAD / slots, Instant::now());
+        let load = if self.settings.mislead { 0 } else { reported };
         Announcement {
             instance: self.instance.clone(),
             service: self.settings.service.clone(),
@@ -75,8 +79,13 @@
         *self.phase.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(super) fn set_phase(&self, phase: Phase) {
+    /// Enters a phase and records it.
+    pub(super) fn set_phase(&self, phase: Phase, history: &Writer) {
         *self.phase.lock().unwrap_or_else(PoisonError::into_inner) = phase;
+        let mut event = event(Kind::Phase);
+        event.instance = Some(self.instance.clone());
+        event.detail = Some(phase.to_string());
+        history.write(event);
     }
 
     /// Returns the time that a request which starts now runs.
