feat(load): resend calls, lay out links and wait for readiness

A call is sent again with its key through another node after every outcome but an answer, with full jitter. A layout can put the link stand-in between instances.

--- /dev/null
+++ b/crates/lentilshunt-load/src/caller/call.rs
@@ -0,0 +1,192 @@
+//! One call and its attempts.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hyper::{Request, Response};
+use lentilshunt_core::verdict::Verdict;
+use lentilshunt_net::{
+    call::Name,
+    history::{Writer, event, now_us},
+    http::{Error, Exchange, Pool},
+};
+use lentilshunt_schema::history::{Event, Kind};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use super::{Outcome, Target};
+
+/// Most attempts of one call.
+const MAX_ATTEMPTS: usize = 5;
+/// Deadline that an attempt names.
+const ATTEMPT_TIME: Duration = Duration::from_secs(3);
+/// Time past the deadline for which a caller waits for the answer.
+const ANSWER_GRACE: Duration = Duration::from_millis(500);
+/// Longest pause before the second attempt; it doubles with each further one.
+const BACKOFF: Duration = Duration::from_millis(100);
+/// Largest answer, in bytes.
+const ANSWER_LIMIT: usize = 1024 * 1024;
+/// Header by which the upstream stand-in records the attempt that it runs.
+const ATTEMPT_HEADER: &str = "standin-attempt";
+/// Verdict in the history of an attempt that found no connection.
+const NOT_SENT: &str = "not-sent";
+/// Header that makes the upstream stand-in crash.
+const CRASH_HEADER: &str = "standin-crash";
+
+/// One call, sent again with the same key until it is answered.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// What is called.
+    pub target: Target,
+    /// Idempotency key, which is also the path.
+    pub key: String,
+    /// Body of the request.
+    pub body: Bytes,
+    /// Planned instant of sending.
+    pub due: Instant,
+    /// Whether the request crashes each upstream that runs it.
+    pub crashes: bool,
+    /// Seed of the choice of nodes and pauses.
+    pub seed: u64,
+}
+
+impl Call {
+    /// Sends attempts until one is answered or none is left.
+    ///
+    /// A further attempt goes to another node after a pause with full jitter.
+    /// It is made after every outcome but an answer, also when the request may
+    /// have run: the key has to keep it from running twice.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there are no nodes or the target is not valid in a request.
+    pub async fn send(self, nodes: Arc<[SocketAddr]>, pool: Arc<Pool>, history: Writer) -> Outcome {
+        let mut random = StdRng::seed_from_u64(self.seed);
+        let first = random.random_range(0..nodes.len());
+        let step = random.random_range(1..nodes.len().max(2));
+        let mut outcome = self.outcome(0, None, false);
+        for attempt in 0..MAX_ATTEMPTS {
+            if attempt > 0 {
+                let longest = BACKOFF * 2_u32.pow(u32::try_from(attempt - 1).unwrap_or(0));
+                tokio::time::sleep(longest.mul_f64(random.random())).await;
+            }
+            let node = nodes[(first + attempt * step) % nodes.len()];
+            let id = format!("{:016x}", random.random::<u64>());
+            outcome = self.attempt(attempt, id, node, &pool, &history).await;
+            if outcome.verdict == Some(Verdict::Ran) {
+                break;
+            }
+        }
+        outcome
+    }
+
+    async fn attempt(
+        &self,
+        number: usize,
+        id: String,
+        node: SocketAddr,
+        pool: &Pool,
+        history: &Writer,
+    ) -> Outcome {
+        let request = self.request(&id);
+        let expected = self.expected();
+        let sent = self.sent(id, node, &expected);
+        history.write(sent.clone());
+        let exchange = Exchange {
+            address: node,
+            deadline: Instant::now() + ATTEMPT_TIME + ANSWER_GRACE,
+            limit: ANSWER_LIMIT,
+        };
+        let answer = pool.exchange(exchange, request).await;
+        history.write(replied(sent, &answer));
+        let is_own = answer
+            .as_ref()
+            .is_ok_and(|answer| *answer.body() == expected);
+        self.outcome(number + 1, verdict(&answer), is_own)
+    }
+
+    fn outcome(&self, attempts: usize, verdict: Option<Verdict>, is_own: bool) -> Outcome {
+        Outcome {
+            verdict,
+            is_own_answer: is_own,
+            attempts,
+            latency: self.due.elapsed(),
+        }
+    }
+
+    fn sent(&self, attempt: String, node: SocketAddr, expected: &Bytes) -> Event {
+        let mut sent = event(Kind::Sent);
+        sent.key = Some(self.key.clone());
+        sent.attempt = Some(attempt);
+        sent.instance = Some(node.to_string());
+        sent.service = Some(self.target.service.clone());
+        sent.idempotent = Some(self.target.idempotent);
+        sent.expected = Some(digest(expected));
+        sent
+    }
+
+    fn request(&self, attempt: &str) -> Request<Bytes> {
+        let mut request = Request::builder()
+            .method(self.target.method.clone())
+            .uri(&self.key)
+            .header(Name::SERVICE, &self.target.service)
+            .header(Name::CALLER, &self.target.caller)
+            .header(Name::KEY, &self.key)
+            .header(Name::DEADLINE, ATTEMPT_TIME.as_millis().to_string())
+            .header(ATTEMPT_HEADER, attempt);
+        if self.crashes {
+            request = request.header(CRASH_HEADER, "yes");
+        }
+        request
+            .body(self.body.clone())
+            .expect("plans make valid requests")
+    }
+
+    /// Returns the answer that the upstream stand-in gives to this call.
+    fn expected(&self) -> Bytes {
+        let mut answer = format!("{} {}\n", self.target.method, self.key).into_bytes();
+        answer.extend_from_slice(&self.body);
+        Bytes::from(answer)
+    }
+}
+
+fn replied(sent: Event, answer: &Result<Response<Bytes>, Error>) -> Event {
+    let mut replied = sent;
+    replied.at_us = now_us();
+    replied.kind = Kind::Replied;
+    replied.verdict = verdict(answer).map(|verdict| verdict.to_string());
+    match answer {
+        Ok(answer) => {
+            replied.status = Some(answer.status().as_u16());
+            replied.digest = Some(digest(answer.body()));
+            replied.detail = header(answer, Name::REASON);
+        }
+        Err(error) => {
+            if error.verdict() == Verdict::NotRun {
+                replied.verdict = Some(NOT_SENT.to_owned());
+            }
+            replied.detail = Some(error.to_string());
+        }
+    }
+    replied
+}
+
+fn verdict(answer: &Result<Response<Bytes>, Error>) -> Option<Verdict> {
+    match answer {
+        Ok(answer) => Verdict::from_header(&header(answer, Name::VERDICT)?),
+        Err(error) if error.verdict() == Verdict::NotRun => Some(Verdict::NotRun),
+        Err(_unknown) => None,
+    }
+}
+
+fn header(answer: &Response<Bytes>, name: &str) -> Option<String> {
+    let value = answer.headers().get(name)?;
+    value.to_str().ok().map(ToOwned::to_owned)
+}
+
+fn digest(body: &[u8]) -> String {
+    blake3::hash(body).to_hex().to_string()
+}
--- a/crates/lentilshunt-load/src/check/stop.rs
+++ b/crates/lentilshunt-load/src/check/stop.rs
@@ -80,7 +80,7 @@
 impl Attempt<'_> {
     fn is_settled(&self) -> bool {
         let verdict = self.replied.and_then(|replied| replied.verdict.as_deref());
-        matches!(verdict, Some("ran" | "not-run"))
+        matches!(verdict, Some("ran" | "not-run" | "not-sent"))
     }
 }
 
--- a/crates/lentilshunt-load/src/fleet/layout.rs
+++ b/crates/lentilshunt-load/src/fleet/layout.rs
@@ -21,6 +21,14 @@
 const UPSTREAM_PORT: u16 = 7003;
 /// Port of the platform.
 const PLATFORM_PORT: u16 = 7100;
+/// Port on which the links are set.
+const LINKS_PORT: u16 = 7101;
+/// What the third part of an address rises by for the address behind a link.
+const LINK_OFFSET: u8 = 100;
+/// Third part of the address of the platform behind a link.
+const PLATFORM_LINK: u8 = 200;
+/// What the last part of an address rises by when a server moves.
+const MOVE_OFFSET: u8 = 100;
 
 /// One instance with its node and upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -76,18 +84,25 @@
     pub servers: Vec<Server>,
     /// Time that a request runs, in microseconds.
     pub run_us: u64,
+    /// Whether processes of different instances meet through the link stand-in.
+    pub has_links: bool,
 }
 
 impl Layout {
+    /// Failure domain by which the link stand-in knows the platform.
+    pub const PLATFORM_DOMAIN: &str = "platform";
+
     /// Spreads `servers_per_service` servers of each service over the failure domains.
     #[must_use]
     pub fn new(snapshot: &Snapshot, servers_per_service: usize, network: u8) -> Self {
         let domains: Vec<_> = snapshot.topology.domains.iter().collect();
         let mut used: BTreeMap<usize, u8> = BTreeMap::new();
         let mut servers = Vec::new();
+        let mut next = 0;
         for (name, service) in &snapshot.services {
             for index in 0..servers_per_service {
-                let place = index % domains.len().max(1);
+                let place = next % domains.len().max(1);
+                next += 1;
                 let Some((domain, region)) = domains.get(place) else {
                     continue;
                 };
@@ -109,7 +124,64 @@
             network,
             servers,
             run_us: 2000,
+            has_links: false,
+        }
+    }
+
+    /// Puts the link stand-in between instances, and between them and the platform.
+    #[must_use]
+    pub fn with_links(mut self) -> Self {
+        self.has_links = true;
+        self
+    }
+
+    /// Gives a server another address, as when its instance is replaced.
+    pub fn move_server(&mut self, instance: &str) {
+        let mut servers = self.servers.iter_mut();
+        if let Some(server) = servers.find(|server| server.instance == instance)
+            && let IpAddr::V4(ip) = server.ip
+        {
+            let [first, second, third, host] = ip.octets();
+            let host = host.wrapping_add(MOVE_OFFSET);
+            server.ip = IpAddr::V4(Ipv4Addr::new(first, second, third, host));
+        }
+    }
+
+    /// Returns the address at which other nodes reach the node of a server.
+    #[must_use]
+    pub fn advertised(&self, server: &Server) -> SocketAddr {
+        let (true, IpAddr::V4(ip)) = (self.has_links, server.ip) else {
+            return server.peers();
+        };
+        let [first, second, third, host] = ip.octets();
+        let ip = Ipv4Addr::new(first, second, third + LINK_OFFSET, host);
+        SocketAddr::new(IpAddr::V4(ip), PEERS_PORT)
+    }
+
+    /// Returns the address at which nodes reach the platform.
+    #[must_use]
+    pub fn platform_of_nodes(&self) -> SocketAddr {
+        if !self.has_links {
+            return self.platform();
         }
+        let ip = Ipv4Addr::new(127, self.network, PLATFORM_LINK, 1);
+        SocketAddr::new(IpAddr::V4(ip), PLATFORM_PORT)
+    }
+
+    /// Returns the address on which the links are set.
+    #[must_use]
+    pub fn links(&self) -> SocketAddr {
+        let ip = Ipv4Addr::new(127, self.network, 0, 2);
+        SocketAddr::new(IpAddr::V4(ip), LINKS_PORT)
+    }
+
+    /// Returns the failure domains of the servers with their regions.
+    #[must_use]
+    pub fn domains(&self) -> BTreeMap<DomainId, RegionId> {
+        let servers = self.servers.iter();
+        servers
+            .map(|server| (server.domain.clone(), server.region.clone()))
+            .collect()
     }
 
     /// Returns the address of the platform.
@@ -127,11 +199,11 @@
             .iter()
             .filter(|other| other.domain == server.domain && other.instance != server.instance)
             .take(2)
-            .map(|other| other.peers().to_string())
+            .map(|other| self.advertised(other).to_string())
             .collect();
         format!(
             "[instance]\nname = {}\nregion = {}\ndomain = {}\n\
-             [listen]\ncallers = {}\npeers = {}\nadmin = {}\n\
+             [listen]\ncallers = {}\npeers = {}\nadmin = {}\nadvertise = {}\n\
              [platform]\naddress = {}\n\
              [peers]\nseeds = {}\n\
              [log]\nlevel = info\n\
@@ -142,7 +214,8 @@
             server.callers(),
             server.peers(),
             server.admin(),
-            self.platform(),
+            self.advertised(server),
+            self.platform_of_nodes(),
             seeds.join(", "),
             history.display(),
         )
@@ -174,4 +247,10 @@
     pub fn platform_settings(&self) -> String {
         format!("[listen]\naddress = {}\n", self.platform())
     }
+
+    /// Returns the settings of the link stand-in.
+    #[must_use]
+    pub fn links_settings(&self) -> String {
+        format!("[listen]\naddress = {}\n", self.links())
+    }
 }
--- a/crates/lentilshunt-load/src/fleet/mod.rs
+++ b/crates/lentilshunt-load/src/fleet/mod.rs
@@ -2,8 +2,10 @@
 
 mod layout;
 mod process;
+mod remote;
 mod running;
 
 pub use layout::{Layout, Server};
 pub use process::Process;
+pub use remote::{Remote, Shown};
 pub use running::Fleet;
--- a/crates/lentilshunt-load/src/fleet/running.rs
+++ b/crates/lentilshunt-load/src/fleet/running.rs
@@ -22,6 +22,8 @@
     pub layout: Layout,
     /// The platform.
     pub platform: Process,
+    /// The link stand-in, if the layout has links.
+    pub links: Option<Process>,
     /// Node of each instance.
     pub nodes: BTreeMap<InstanceId, Process>,
     /// Upstream of each instance.
@@ -49,8 +51,16 @@
             &layout.platform_settings(),
             folder,
         )?;
+        let links = if layout.has_links {
+            let program = programs.join("lentilshunt-link");
+            let settings = layout.links_settings();
+            Some(Process::start(&program, "link", &settings, folder)?)
+        } else {
+            None
+        };
         let mut fleet = Self {
             platform,
+            links,
             nodes: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             programs: programs.to_owned(),
@@ -70,6 +80,13 @@
         self.folder.join("history.jsonl")
     }
 
+    /// Returns the server of an instance.
+    #[must_use]
+    pub fn server(&self, instance: &str) -> Option<Server> {
+        let mut servers = self.layout.servers.iter();
+        servers.find(|server| server.instance == instance).cloned()
+    }
+
     /// Starts the node of a server, also after its end.
     ///
     /// # Errors
