feat(load): run a fleet under seeded disturbances

cargo xtask chaos runs 12 nodes behind the link stand-in under calls of both kinds while a seeded schedule kills, freezes, cuts, slows, silences, crashes, races operators and stops by plan; it heals everything, accepts one more version and judges the history.

--- /dev/null
+++ b/crates/lentilshunt-load/src/chaos/directions.rs
@@ -0,0 +1,117 @@
+//! The directions between failure domains that a run sets.
+
+use std::collections::BTreeMap;
+
+use lentilshunt_core::id::{DomainId, RegionId};
+use lentilshunt_schema::platform::{Cut, Direction};
+
+use super::Trouble;
+use crate::fleet::Layout;
+
+/// One-way latency between failure domains of a region, in microseconds.
+const DOMAIN_US: u64 = 500;
+/// One-way latency between regions, in microseconds.
+const REGION_US: u64 = 8_000;
+/// Latency of a slow direction, in microseconds.
+const SLOW_US: u64 = 400_000;
+
+/// Two failure domains in the order in which bytes flow.
+type Pair = (DomainId, DomainId);
+
+/// Latency of every direction, and the disturbances in force.
+#[derive(Debug)]
+pub(super) struct Directions {
+    domains: BTreeMap<DomainId, RegionId>,
+    active: BTreeMap<String, Vec<(Pair, Cut, u64)>>,
+}
+
+impl Directions {
+    /// Creates undisturbed directions; the platform stands in the first region.
+    pub(super) fn new(layout: &Layout) -> Self {
+        let mut domains = layout.domains();
+        if let Some(region) = domains.values().next().cloned() {
+            domains.insert(Layout::PLATFORM_DOMAIN.to_owned(), region);
+        }
+        Self {
+            domains,
+            active: BTreeMap::new(),
+        }
+    }
+
+    /// Returns every direction as it is now.
+    pub(super) fn all(&self) -> Vec<Direction> {
+        let pairs = self.domains.keys().flat_map(|from| {
+            let to = self.domains.keys();
+            to.map(|to| (from.clone(), to.clone()))
+        });
+        pairs.map(|pair| self.direction(&pair, false)).collect()
+    }
+
+    /// Begins a disturbance, and returns the directions that change by it.
+    pub(super) fn begin(&mut self, id: &str, trouble: &Trouble) -> Vec<Direction> {
+        let changes = changes(trouble);
+        let is_silent = matches!(trouble, Trouble::Silence(..));
+        self.active.insert(id.to_owned(), changes.clone());
+        let changes = changes.iter();
+        changes
+            .map(|(pair, _, _)| self.direction(pair, is_silent))
+            .collect()
+    }
+
+    /// Ends a disturbance, and returns the directions that change by it.
+    pub(super) fn end(&mut self, id: &str) -> Vec<Direction> {
+        let changes = self.active.remove(id).unwrap_or_default();
+        let changes = changes.iter();
+        changes
+            .map(|(pair, _, _)| self.direction(pair, false))
+            .collect()
+    }
+
+    fn direction(&self, pair: &Pair, silence: bool) -> Direction {
+        let (from, to) = pair;
+        let disturbances = || {
+            let all = self.active.values().flatten();
+            all.filter(|(disturbed, _, _)| disturbed == pair)
+        };
+        let cut = disturbances().map(|(_, cut, _)| *cut).max();
+        let delay_us = disturbances().map(|(_, _, delay_us)| *delay_us).max();
+        Direction {
+            from: from.clone(),
+            to: to.clone(),
+            delay_us: self.usual_us(from, to).max(delay_us.unwrap_or_default()),
+            cut: cut.unwrap_or(Cut::Open),
+            silence,
+        }
+    }
+
+    fn usual_us(&self, from: &DomainId, to: &DomainId) -> u64 {
+        if from == to {
+            0
+        } else if self.domains.get(from) == self.domains.get(to) {
+            DOMAIN_US
+        } else {
+            REGION_US
+        }
+    }
+}
+
+/// Returns what a disturbance does to directions.
+fn changes(trouble: &Trouble) -> Vec<(Pair, Cut, u64)> {
+    let pair = |from: &DomainId, to: &DomainId| (from.clone(), to.clone());
+    match trouble {
+        Trouble::Blackhole { from, to, both } => {
+            let mut changes = vec![(pair(from, to), Cut::Blackhole, 0)];
+            if *both {
+                changes.push((pair(to, from), Cut::Blackhole, 0));
+            }
+            changes
+        }
+        Trouble::Refuse(from, to) => vec![
+            (pair(from, to), Cut::Refuse, 0),
+            (pair(to, from), Cut::Refuse, 0),
+        ],
+        Trouble::Slow(from, to) => vec![(pair(from, to), Cut::Open, SLOW_US)],
+        Trouble::Silence(from, to) => vec![(pair(from, to), Cut::Open, 0)],
+        _ => Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-load/src/chaos/load.rs
@@ -0,0 +1,135 @@
+//! Callers, operators and observers of a run.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hyper::Method;
+use lentilshunt_core::config::{Pattern, Snapshot};
+use lentilshunt_net::{history::Writer, http::Pool};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use tokio::task::JoinSet;
+
+use crate::{
+    caller::{Call, Plan, Target},
+    fleet::{Layout, Remote},
+    operator::Operator,
+};
+
+/// Pause between two looks at the routes of all nodes.
+const SCRAPE_INTERVAL: Duration = Duration::from_millis(700);
+/// Shortest and longest pause between two acceptances, in seconds.
+const ACCEPT_PAUSE: std::ops::Range<f64> = 0.8..3.0;
+/// Service that comes and goes with the versions.
+const PASSING_SERVICE: &str = "passing";
+
+/// Plans calls of every service that are idempotent, or those that are not.
+#[must_use]
+pub fn plan(snapshot: &Snapshot, nodes: Vec<SocketAddr>, idempotent: bool) -> Plan {
+    let mut targets = Vec::new();
+    for (name, service) in &snapshot.services {
+        let Some(caller) = service.callers.iter().next() else {
+            continue;
+        };
+        let target = |method: Method, path: String| Target {
+            service: name.clone(),
+            caller: caller.clone(),
+            method,
+            path,
+            idempotent,
+        };
+        if idempotent {
+            targets.push(target(Method::GET, format!("/{name}")));
+            continue;
+        }
+        for pattern in &service.non_idempotent {
+            let path = pattern.path.trim_end_matches("/**").to_owned();
+            if let Ok(method) = pattern.method.parse() {
+                targets.push(target(method, path));
+            }
+        }
+    }
+    Plan {
+        targets,
+        nodes,
+        rate: 1.0,
+        ends_at: Instant::now(),
+        seed: 0,
+    }
+}
+
+/// Sends a call that crashes each upstream that runs it.
+pub(super) async fn crash(plan: Plan, history: Writer) {
+    let mut random = StdRng::seed_from_u64(plan.seed);
+    let target = plan.targets[random.random_range(0..plan.targets.len())].clone();
+    let call = Call {
+        key: format!("{}/crash-{}", target.path, plan.seed),
+        body: Bytes::from_static(b"crash"),
+        target,
+        due: Instant::now(),
+        crashes: true,
+        seed: plan.seed,
+    };
+    call.send(plan.nodes.into(), Arc::new(Pool::default()), history)
+        .await;
+}
+
+/// Lets operators race until `ends_at`; returns when the last one has ended.
+pub(super) async fn operate(
+    platform: SocketAddr,
+    history: Writer,
+    snapshot: Snapshot,
+    seed: u64,
+    ends_at: Instant,
+) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let operator = Arc::new(Operator::new(platform, history));
+    let mut serial = 0;
+    while Instant::now() < ends_at {
+        let pause = random.random_range(ACCEPT_PAUSE);
+        tokio::time::sleep(Duration::from_secs_f64(pause)).await;
+        let Some(head) = operator.head().await else {
+            continue;
+        };
+        let racing = random.random_range(1..=3);
+        let mut race = JoinSet::new();
+        for _ in 0..racing {
+            serial += 1;
+            let operation = format!("operation-{seed}-{serial}");
+            let changed = changed(&snapshot, &operation, random.random());
+            let operator = Arc::clone(&operator);
+            race.spawn(async move {
+                drop(operator.accept(&changed, head.version, operation).await);
+            });
+        }
+        race.join_all().await;
+    }
+}
+
+/// Returns the snapshot with a rule of its own, and perhaps with one more service.
+pub(super) fn changed(snapshot: &Snapshot, operation: &str, has_more: bool) -> Snapshot {
+    let mut changed = snapshot.clone();
+    let Some(service) = changed.services.values_mut().next() else {
+        return changed;
+    };
+    service.non_idempotent.push(Pattern {
+        method: "DELETE".to_owned(),
+        path: format!("/{operation}/**"),
+    });
+    if has_more {
+        let service = service.clone();
+        changed.services.insert(PASSING_SERVICE.to_owned(), service);
+    }
+    changed
+}
+
+/// Records the routes of all nodes until the task is aborted.
+pub(super) async fn observe(remote: Arc<Remote>, layout: Layout, history: Writer) {
+    loop {
+        remote.record_routes(&layout, &history).await;
+        tokio::time::sleep(SCRAPE_INTERVAL).await;
+    }
+}
--- a/xtask/src/chaos/mod.rs
+++ b/xtask/src/chaos/mod.rs
@@ -1,23 +1,110 @@
 //! Runs a fleet under faults and checks every promise.
 
-use std::path::Path;
+use std::{
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
 use bpaf::Bpaf;
-use snafu::Whatever;
+use lentilshunt_load::chaos::{self, Options, Verdict};
+use snafu::{ResultExt, Whatever, ensure_whatever};
+
+use crate::{cargo::cargo, example::example};
+
+/// Violations of one run that are printed.
+const PRINTED: usize = 12;
 
 /// Arguments of the run.
 #[derive(Bpaf, Clone, Debug)]
 pub struct Arguments {
-    /// Seed of all random choices
+    /// Example inventory
+    #[bpaf(argument("NAME"), fallback("andina".to_owned()), display_fallback)]
+    inventory: String,
+    /// First seed
     #[bpaf(argument("SEED"), fallback(1), display_fallback)]
     seed: u64,
+    /// Seeds that are run, one after another
+    #[bpaf(argument("COUNT"), fallback(1), display_fallback)]
+    seeds: u64,
+    /// Seconds in which faults begin
+    #[bpaf(argument("SECONDS"), fallback(30), display_fallback)]
+    duration: u64,
+    /// Servers of each service
+    #[bpaf(argument("COUNT"), fallback(4), display_fallback)]
+    servers: usize,
+    /// Second part of the loopback addresses
+    #[bpaf(argument("NETWORK"), fallback(30), display_fallback)]
+    network: u8,
 }
 
-/// Runs the run.
+/// Runs each seed and prints the command of each that fails.
 ///
 /// # Errors
 ///
-/// Returns an error: the run is not built yet.
-pub fn run(_root: &Path, arguments: &Arguments) -> Result<(), Whatever> {
-    snafu::whatever!("not built yet, seed {}", arguments.seed)
+/// Returns an error when a run cannot be carried out or a promise was broken.
+pub fn run(root: &Path, arguments: &Arguments) -> Result<(), Whatever> {
+    cargo(root, &["build", "--workspace"], &[])?;
+    let runtime = tokio::runtime::Runtime::new().whatever_context("no runtime")?;
+    let mut failed = 0;
+    for seed in arguments.seed..arguments.seed + arguments.seeds {
+        let options = options(root, arguments, seed)?;
+        println!("seed {seed}");
+        let is_kept = match runtime.block_on(chaos::run(&options)) {
+            Ok(verdict) => {
+                print(&verdict);
+                verdict.violations.is_empty()
+            }
+            Err(error) => {
+                println!("  {}", snafu::Report::from_error(error));
+                false
+            }
+        };
+        if !is_kept {
+            failed += 1;
+            println!("  failed: {}", command(arguments, seed));
+            println!("  history: {}", options.folder.display());
+        }
+    }
+    ensure_whatever!(failed == 0, "{failed} of {} seeds failed", arguments.seeds);
+    Ok(())
+}
+
+fn options(root: &Path, arguments: &Arguments, seed: u64) -> Result<Options, Whatever> {
+    Ok(Options {
+        snapshot: example(root, &arguments.inventory)?,
+        servers: arguments.servers,
+        network: arguments.network,
+        seed,
+        duration: Duration::from_secs(arguments.duration),
+        programs: root.join("target/debug"),
+        folder: folder(root, seed),
+    })
+}
+
+fn folder(root: &Path, seed: u64) -> PathBuf {
+    root.join("target/chaos").join(format!("seed-{seed}"))
+}
+
+fn command(arguments: &Arguments, seed: u64) -> String {
+    format!(
+        "cargo xtask chaos --inventory {} --seed {seed} --duration {} --servers {} --network {}",
+        arguments.inventory, arguments.duration, arguments.servers, arguments.network
+    )
+}
+
+fn print(verdict: &Verdict) {
+    let runs = &verdict.runs;
+    println!(
+        "  {} faults; calls: {} sent, {} answered, {} not run, {} may have run; {} versions",
+        verdict.troubles.len(),
+        runs.sent,
+        runs.answered,
+        runs.refused_not_run,
+        runs.may_have_run,
+        verdict.versions.accepted,
+    );
+    println!("  {} violations", verdict.violations.len());
+    for violation in verdict.violations.iter().take(PRINTED) {
+        println!("    {violation}");
+    }
 }
--- a/xtask/src/demo/mod.rs
+++ b/xtask/src/demo/mod.rs
@@ -2,14 +2,14 @@
 
 use std::{
     fs,
-    path::{Path, PathBuf},
+    path::Path,
     time::{Duration, Instant},
 };
 
 use bpaf::Bpaf;
 use hyper::Method;
 use lentilshunt_cli::accept::accept;
-use lentilshunt_core::config::{Head, Pattern, Snapshot, Source, compile};
+use lentilshunt_core::config::{Head, Pattern, Snapshot};
 use lentilshunt_load::{
     caller::{self, Plan, Target},
     check,
@@ -23,7 +23,7 @@
 use lentilshunt_schema::history::Kind;
 use snafu::{ResultExt, Whatever, ensure_whatever};
 
-use crate::cargo::cargo;
+use crate::{cargo::cargo, example::example};
 
 /// Servers of each service.
 const SERVERS: usize = 6;
@@ -139,25 +139,6 @@
     Ok(())
 }
 
-fn example(root: &Path, name: &str) -> Result<Snapshot, Whatever> {
-    let folder = root.join("examples").join(name);
-    let files: Vec<PathBuf> = ["inventory.ini", "rules.ini"]
-        .iter()
-        .map(|file| folder.join(file))
-        .collect();
-    let mut sources = Vec::new();
-    for file in &files {
-        let bytes =
-            fs::read(file).with_whatever_context(|_| format!("cannot read {}", file.display()))?;
-        sources.push((file.display().to_string(), bytes));
-    }
-    let sources: Vec<Source<'_>> = sources
-        .iter()
-        .map(|(name, bytes)| Source { name, bytes })
-        .collect();
-    compile(&sources).whatever_context("the example is invalid")
-}
-
 /// Returns the snapshot with one more rule.
 fn changed(snapshot: &Snapshot) -> Snapshot {
     let mut changed = snapshot.clone();
