fix(node): give the entry fixture the new fields of contexts and records

Cause: the entry tests and the dissemination records were written side by side. Ruled out: defaults on generated records, which would hide a missing field.

--- a/crates/lentilshunt-node/tests/entry/fixture.rs
+++ b/crates/lentilshunt-node/tests/entry/fixture.rs
@@ -195,6 +195,7 @@
         pool: Arc::new(Pool::default()),
         stop: CancellationToken::new(),
         history: Writer::open("", "test", 1).expect("no file"),
+        members: ArcSwap::default(),
         log,
         settings,
     })
@@ -215,9 +216,11 @@
             domain: "d".to_owned(),
             incarnation: 1,
             sequence: 1,
+            base: 1,
             service: "s".to_owned(),
             phase: Phase::Ready,
             slots: 8,
+            reading: 1,
             room: 8,
         })
         .collect();
