--- a/crates/lentilshunt-node/src/executor/claims/claimant.rs
+++ b/crates/lentilshunt-node/src/executor/claims/claimant.rs
@@ -44,7 +44,7 @@
         plan: Plan,
     ) -> Self {
         let (bids, received) = mpsc::channel(QUEUE_BIDS);
-        tokio::spawn(Committer::new(table, plan, received).run());
+        tokio::spawn(Committer::new(table, plan, received, incarnation).run());
         Self {
             instance,
             address,
--- a/crates/lentilshunt-node/src/executor/claims/committer.rs
+++ b/crates/lentilshunt-node/src/executor/claims/committer.rs
@@ -5,6 +5,7 @@
 use lentilshunt_core::claim::{Batch, Bid, Pace, Settlement};
 use lentilshunt_net::platform::{Error, Table};
 use lentilshunt_schema::platform::Outcome;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use tokio::{
     sync::{mpsc, oneshot},
     task::JoinSet,
@@ -45,15 +46,19 @@
     waiting: Vec<(Bid, Owner)>,
     sent: JoinSet<(Batch<Owner>, Result<Outcome, Error>)>,
     pace: Pace,
+    random: StdRng,
 }
 
 impl Committer {
     /// Creates the task; it ends when all senders of `bids` are gone.
+    ///
+    /// `seed` is the one of the pauses between transactions.
     #[must_use]
     pub(super) fn new(
         table: Arc<dyn Table>,
         plan: Plan,
         bids: mpsc::Receiver<(Bid, Owner)>,
+        seed: u64,
     ) -> Self {
         Self {
             table,
@@ -62,6 +67,7 @@
             waiting: Vec::new(),
             sent: JoinSet::new(),
             pace: Pace::new(now()),
+            random: StdRng::seed_from_u64(seed),
         }
     }
 
@@ -71,6 +77,7 @@
             let may_send = !self.waiting.is_empty() && self.sent.len() < self.plan.in_flight;
             let due = self.pace.next_at();
             tokio::select! {
+                biased;
                 bid = self.bids.recv() => match bid {
                     Some(bid) => self.collect(bid),
                     None => return,
@@ -99,7 +106,7 @@
         if batch.is_empty() {
             return;
         }
-        self.pace.start(now(), rand::random());
+        self.pace.start(now(), self.random.random());
         metrics::counter!("lentilshunt_claim_transactions_total").increment(1);
         metrics::histogram!("lentilshunt_claim_batch_bids").record(to_f64(batch.len()));
         let table = Arc::clone(&self.table);
--- a/crates/lentilshunt-node/src/executor/runner.rs
+++ b/crates/lentilshunt-node/src/executor/runner.rs
@@ -107,6 +107,7 @@
         }
         let attempt = Attempt::new(&self.ledger, &call.request);
         let prepared = tokio::select! {
+            biased;
             prepared = self.prepare(&call, &attempt) => prepared,
             () = gone.cancelled() => return attempt.abandon(),
         };
--- /dev/null
+++ b/crates/lentilshunt-node/tests/executor/claims.rs
@@ -0,0 +1,217 @@
+//! Tests of claims under faults of the platform and of their holders.
+
+use std::time::Duration;
+
+use lentilshunt_core::{execution::Resolution, membership::Phase, verdict::Reason};
+use tokio::time::{advance, sleep};
+
+use crate::fixture::{
+    Fault, Fleet, PLATFORM_TIMEOUT, Run, call, may_have_run, not_run, now, ran, told,
+};
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+#[tokio::test(start_paused = true)]
+async fn repeat_through_other_node() {
+    let fleet = Fleet::default();
+    let (a, b) = (fleet.start("a", 1), fleet.start("b", 1));
+    let first = a.execute(call("r", Some("k"))).await;
+    let repeat = b.execute(call("s", Some("k"))).await;
+    let same = a.execute(call("t", Some("k"))).await;
+    assert_eq!(told(&first), ran("r"));
+    assert_eq!(told(&repeat), ran("r"));
+    assert_eq!(told(&same), ran("r"));
+    assert_eq!((a.runs(), b.runs()), (vec!["r".to_owned()], vec![]));
+}
+
+#[tokio::test(start_paused = true)]
+async fn repeat_while_first_runs() {
+    let fleet = Fleet::default();
+    let (a, b) = (fleet.start("a", 1), fleet.start("b", 1));
+    let slow = Run::Answer(Duration::from_millis(300));
+    a.upstream.script.lock().unwrap().push_back(slow);
+    let first = a.spawn(call("r", Some("k")));
+    sleep(MILLISECOND * 10).await;
+    let repeat = b.execute(call("s", Some("k"))).await;
+    assert_eq!(told(&repeat), ran("r"));
+    assert_eq!(told(&first.await.unwrap()), ran("r"));
+    assert_eq!(b.runs(), Vec::<String>::new());
+}
+
+#[tokio::test(start_paused = true)]
+async fn repeat_with_other_body() {
+    let fleet = Fleet::default();
+    let node = fleet.start("a", 1);
+    let _first = node.execute(call("r", Some("k"))).await;
+    let mut other = call("s", Some("k"));
+    other.body = "bale 8".into();
+    let refused = node.execute(other).await;
+    assert_eq!(told(&refused), not_run(Reason::Duplicate));
+    assert_eq!(refused.status, 409);
+    assert_eq!(node.runs(), ["r"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn repeat_after_holder_died() {
+    let fleet = Fleet::default();
+    let (a, b) = (fleet.start("a", 1), fleet.start("b", 1));
+    let _first = a.execute(call("r", Some("k"))).await;
+    fleet.lose("a");
+    let repeat = b.execute(call("s", Some("k"))).await;
+    assert_eq!(told(&repeat), may_have_run(Reason::Duplicate));
+    let restarted = fleet.start("a", 2);
+    let repeat = restarted.execute(call("t", Some("k"))).await;
+    assert_eq!(told(&repeat), may_have_run(Reason::Duplicate));
+    assert_eq!(b.runs().len() + restarted.runs().len(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn repeat_after_later_incarnation_barred_request() {
+    let fleet = Fleet::default();
+    let (a, b) = (fleet.start("a", 1), fleet.start("b", 1));
+    let _first = a.execute(call("r", Some("k"))).await;
+    let restarted = fleet.start("a", 2);
+    assert!(matches!(restarted.resolve("r"), Resolution::Barred));
+    let repeat = b.execute(call("s", Some("k"))).await;
+    assert_eq!(told(&repeat), may_have_run(Reason::Duplicate));
+    assert_eq!(b.runs(), Vec::<String>::new());
+}
+
+#[tokio::test(start_paused = true)]
+async fn repeat_whose_caller_left() {
+    let fleet = Fleet::default();
+    let (a, b) = (fleet.start("a", 1), fleet.start("b", 1));
+    let slow = Run::Answer(Duration::from_secs(1));
+    a.upstream.script.lock().unwrap().push_back(slow);
+    let _first = a.spawn(call("r", Some("k")));
+    sleep(MILLISECOND * 10).await;
+    let repeat = b.spawn(call("s", Some("k")));
+    sleep(MILLISECOND * 10).await;
+    assert!(matches!(b.resolve("s"), Resolution::Running));
+    repeat.abort();
+    sleep(MILLISECOND).await;
+    // The first request of the key runs, so the repeat must not count as not run.
+    assert!(matches!(b.resolve("s"), Resolution::MayHaveRun));
+}
+
+#[tokio::test(start_paused = true)]
+async fn repeat_after_answer_was_forgotten() {
+    let fleet = Fleet::default();
+    let (a, b) = (fleet.start("a", 1), fleet.start("b", 1));
+    let _first = a.execute(call("r", Some("k"))).await;
+    advance(Duration::from_secs(700)).await;
+    // Another request lets the ledger forget what has expired.
+    let _other = a.execute(call("x", None)).await;
+    let repeat = b.execute(call("s", Some("k"))).await;
+    assert_eq!(told(&repeat), may_have_run(Reason::Duplicate));
+    assert_eq!(b.runs(), Vec::<String>::new());
+}
+
+#[tokio::test(start_paused = true)]
+async fn take_over_after_barred_only() {
+    let fleet = Fleet::default();
+    let (a, b) = (fleet.start("a", 1), fleet.start("b", 1));
+    a.upstream.script.lock().unwrap().push_back(Run::Refuse);
+    let refused = a.execute(call("r", Some("k"))).await;
+    assert_eq!(told(&refused), not_run(Reason::Unreachable));
+    let repeat = b.execute(call("r", Some("k"))).await;
+    assert_eq!(told(&repeat), ran("r"));
+    let third = a.execute(call("s", Some("k"))).await;
+    assert_eq!(told(&third), ran("r"));
+    assert_eq!((a.runs(), b.runs()), (vec![], vec!["r".to_owned()]));
+}
+
+#[tokio::test(start_paused = true)]
+async fn holder_paused_over_deadline() {
+    let fleet = Fleet::default();
+    let (a, b) = (fleet.start("a", 1), fleet.start("b", 1));
+    let slow = Run::Answer(Duration::from_secs(20));
+    a.upstream.script.lock().unwrap().extend([slow, slow]);
+    let _busy = ["x", "y"].map(|id| a.spawn(call(id, None)));
+    sleep(MILLISECOND).await;
+    // The claim stands while its request waits for a slot.
+    let first = a.spawn(call("r", Some("k")));
+    sleep(MILLISECOND * 10).await;
+    advance(Duration::from_mins(1)).await;
+    let repeat = b.execute(call("s", Some("k"))).await;
+    assert_eq!(told(&repeat), ran("s"));
+    assert_eq!(told(&first.await.unwrap()), not_run(Reason::Deadline));
+    assert_eq!(a.runs(), ["x", "y"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_by_fault() {
+    let cases = [
+        (vec![Fault::LoseReply], ran("r")),
+        (vec![Fault::LoseRequest], ran("r")),
+        (vec![Fault::LoseReply, Fault::LoseReply], ran("r")),
+        (vec![Fault::Refuse; 5], ran("r")),
+        (vec![Fault::Slow(PLATFORM_TIMEOUT / 2)], ran("r")),
+        (vec![Fault::LandLate(PLATFORM_TIMEOUT * 2)], ran("r")),
+        (
+            vec![Fault::LoseRequest; 9],
+            not_run(Reason::ClaimUnavailable),
+        ),
+    ];
+    for (faults, expected) in cases {
+        let fleet = Fleet::default();
+        let (a, b) = (fleet.start("a", 1), fleet.start("b", 1));
+        let label = format!("{faults:?}");
+        fleet.platform.script(faults);
+        let reply = a.execute(call("r", Some("k"))).await;
+        assert_eq!(told(&reply), expected, "{label}");
+        fleet.platform.faults.lock().unwrap().clear();
+        let repeat = b.execute(call("s", Some("k"))).await;
+        let once = if expected == ran("r") { "r" } else { "s" };
+        assert_eq!(told(&repeat), ran(once), "{label}");
+        assert_eq!(a.runs().len() + b.runs().len(), 1, "{label}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_that_lands_after_it_was_given_up() {
+    let fleet = Fleet::default();
+    let (a, b) = (fleet.start("a", 1), fleet.start("b", 1));
+    let late = Fault::LandLate(Duration::from_secs(6));
+    fleet.platform.script([late; 4]);
+    let refused = a.execute(call("r", Some("k"))).await;
+    assert_eq!(told(&refused), not_run(Reason::ClaimUnavailable));
+    fleet.platform.faults.lock().unwrap().clear();
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(fleet.platform.rows.lock().unwrap().scan("claim/").len(), 1);
+    let repeat = b.execute(call("s", Some("k"))).await;
+    assert_eq!(told(&repeat), ran("s"));
+    assert_eq!((a.runs(), b.runs()), (vec![], vec!["s".to_owned()]));
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_when_platform_is_down() {
+    let fleet = Fleet::default();
+    let node = fleet.start("a", 1);
+    *fleet.platform.always.lock().unwrap() = Some(Fault::Refuse);
+    let begun = now();
+    let refused = node.execute(call("r", Some("k"))).await;
+    assert_eq!(told(&refused), not_run(Reason::ClaimUnavailable));
+    assert_eq!(now() - begun, Duration::from_secs(3));
+    // Requests without a key need no claim.
+    let plain = node.execute(call("s", None)).await;
+    assert_eq!(told(&plain), ran("s"));
+    *fleet.platform.always.lock().unwrap() = None;
+    let repeat = node.execute(call("t", Some("k"))).await;
+    assert_eq!(told(&repeat), ran("t"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn claims_share_transactions() {
+    let fleet = Fleet::default();
+    let node = fleet.start("a", 1);
+    node.announce(Phase::Ready, 100);
+    *fleet.platform.always.lock().unwrap() = Some(Fault::Slow(MILLISECOND * 10));
+    let calls: Vec<_> = (0..50)
+        .map(|id| node.spawn(call(&id.to_string(), Some(&format!("k{id}")))))
+        .collect();
+    for (id, call) in calls.into_iter().enumerate() {
+        assert_eq!(told(&call.await.unwrap()), ran(&id.to_string()));
+    }
+    assert!(*fleet.platform.transactions.lock().unwrap() <= 5);
+}
--- /dev/null
+++ b/crates/lentilshunt-node/tests/executor/drain.rs
@@ -0,0 +1,76 @@
+//! Tests of a node or an upstream that leaves.
+
+use std::time::Duration;
+
+use lentilshunt_core::{execution::Resolution, membership::Phase, verdict::Reason};
+use lentilshunt_net::call::Reply;
+use tokio::time::sleep;
+
+use crate::fixture::{Fleet, Node, Run, call, not_run, now, ran, told};
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+/// Starts a node with two running and two queued requests of 100 ms.
+async fn busy() -> (Node, Vec<tokio::task::JoinHandle<Reply>>) {
+    let node = Fleet::default().start("a", 1);
+    let slow = Run::Answer(Duration::from_millis(100));
+    node.upstream.script.lock().unwrap().extend([slow; 4]);
+    let calls = ["a", "b", "c", "d"].map(|id| node.spawn(call(id, None)));
+    sleep(MILLISECOND).await;
+    (node, calls.into())
+}
+
+async fn refused(node: &Node) -> Reply {
+    node.execute(call("new", None)).await
+}
+
+async fn all_answered(calls: Vec<tokio::task::JoinHandle<Reply>>) {
+    for (call, id) in calls.into_iter().zip(["a", "b", "c", "d"]) {
+        assert_eq!(told(&call.await.unwrap()), ran(id));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn stop_of_node() {
+    let (node, calls) = busy().await;
+    node.stop.cancel();
+    let begun = now();
+    assert_eq!(told(&refused(&node).await), not_run(Reason::Draining));
+    assert_eq!(now(), begun);
+    all_answered(calls).await;
+    assert!(matches!(node.resolve("c"), Resolution::Answered(_)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn drain_of_upstream() {
+    let (node, calls) = busy().await;
+    node.announce(Phase::Draining, 2);
+    assert_eq!(told(&refused(&node).await), not_run(Reason::Draining));
+    all_answered(calls).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn stop_waits_for_requests_without_caller() {
+    let (node, calls) = busy().await;
+    node.stop.cancel();
+    for call in &calls {
+        call.abort();
+    }
+    node.local.drained().await;
+    // What ran was not cut off, and what waited did not begin.
+    assert_eq!(node.runs(), ["a", "b"]);
+    assert!(matches!(node.resolve("a"), Resolution::Answered(_)));
+    assert!(matches!(node.resolve("c"), Resolution::Barred));
+}
+
+#[tokio::test(start_paused = true)]
+async fn stop_while_claiming() {
+    let fleet = Fleet::default();
+    let node = fleet.start("a", 1);
+    let slow = crate::fixture::Fault::Slow(Duration::from_millis(200));
+    fleet.platform.script([slow]);
+    let claiming = node.spawn(call("r", Some("k")));
+    sleep(MILLISECOND).await;
+    node.stop.cancel();
+    assert_eq!(told(&claiming.await.unwrap()), ran("r"));
+}
--- /dev/null
+++ b/crates/lentilshunt-node/tests/executor/fixture.rs
@@ -0,0 +1,378 @@
+//! Fake upstreams, a fake platform and the nodes between them.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, StatusCode};
+use lentilshunt_core::{
+    claim::Claim,
+    execution::Resolution,
+    membership::{Endpoint, Phase},
+    routing::Place,
+    verdict::{Reason, Verdict},
+};
+use lentilshunt_net::{
+    Pending,
+    call::{Call, Executor, Reply},
+    history::Writer,
+    http::{self, Pool},
+    log,
+    platform::{Error, Table},
+};
+use lentilshunt_node::{
+    context::Context,
+    executor::{Asker, Backend, Claimant, Local, Plan},
+};
+use lentilshunt_schema::{
+    ini,
+    peer::Announcement,
+    platform::{Outcome, Row, Transaction},
+    settings,
+};
+use lentilshunt_standin::platform::Rows;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+/// Time after which the platform counts as silent.
+pub const PLATFORM_TIMEOUT: Duration = Duration::from_secs(1);
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(250);
+const ADDRESS: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
+
+pub fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
+
+/// What happens to one transaction.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    LoseReply,
+    LoseRequest,
+    Refuse,
+    /// Answers late.
+    Slow(Duration),
+    /// Takes effect after the client has given up.
+    LandLate(Duration),
+}
+
+/// A table whose next transactions suffer scripted faults.
+#[derive(Debug, Default)]
+pub struct Platform {
+    pub rows: Arc<Mutex<Rows>>,
+    pub faults: Mutex<VecDeque<Fault>>,
+    /// What happens to each transaction without a scripted fault.
+    pub always: Mutex<Option<Fault>>,
+    pub transactions: Mutex<usize>,
+}
+
+impl Platform {
+    pub fn script(&self, faults: impl IntoIterator<Item = Fault>) {
+        self.faults.lock().unwrap().extend(faults);
+    }
+
+    async fn apply(&self, transaction: Transaction) -> Result<Outcome, Error> {
+        *self.transactions.lock().unwrap() += 1;
+        let scripted = self.faults.lock().unwrap().pop_front();
+        let fault = scripted.or(*self.always.lock().unwrap());
+        match fault {
+            None => {}
+            Some(Fault::Slow(delay)) => sleep(delay).await,
+            Some(Fault::Refuse) => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                return Err(Error::Refused { status });
+            }
+            Some(Fault::LoseRequest) => return silent().await,
+            Some(Fault::LoseReply) => {
+                self.rows.lock().unwrap().transact(transaction);
+                return silent().await;
+            }
+            Some(Fault::LandLate(delay)) => {
+                let rows = Arc::clone(&self.rows);
+                tokio::spawn(async move {
+                    sleep(delay).await;
+                    rows.lock().unwrap().transact(transaction);
+                });
+                return silent().await;
+            }
+        }
+        Ok(self.rows.lock().unwrap().transact(transaction))
+    }
+}
+
+async fn silent<T>() -> Result<T, Error> {
+    sleep(PLATFORM_TIMEOUT).await;
+    let source = http::Error::Timeout { address: ADDRESS };
+    Err(Error::Unavailable { source })
+}
+
+impl Table for Platform {
+    fn read(&self, key: String) -> Pending<'_, Result<Option<Row>, Error>> {
+        Box::pin(async move { Ok(self.rows.lock().unwrap().read(&key).cloned()) })
+    }
+
+    fn scan(&self, prefix: String) -> Pending<'_, Result<Vec<Row>, Error>> {
+        Box::pin(async move { Ok(self.rows.lock().unwrap().scan(&prefix)) })
+    }
+
+    fn transact(&self, transaction: Transaction) -> Pending<'_, Result<Outcome, Error>> {
+        Box::pin(self.apply(transaction))
+    }
+}
+
+/// What an upstream does with one request.
+#[derive(Clone, Copy, Debug)]
+pub enum Run {
+    /// Runs it for a time and answers.
+    Answer(Duration),
+    /// Refuses the connection.
+    Refuse,
+    /// Runs it and is lost before its answer.
+    Lose,
+    /// Fails in the node after the request was sent.
+    Panic,
+}
+
+/// An upstream that notes the ids of the requests that it ran.
+#[derive(Debug, Default)]
+pub struct Upstream {
+    pub runs: Mutex<Vec<String>>,
+    pub script: Mutex<VecDeque<Run>>,
+}
+
+impl Backend for Upstream {
+    fn send(&self, _upstream: SocketAddr, call: Arc<Call>) -> Pending<'_, Reply> {
+        let run = self.script.lock().unwrap().pop_front();
+        Box::pin(async move {
+            let note = || self.runs.lock().unwrap().push(call.request.clone());
+            match run.unwrap_or(Run::Answer(Duration::from_millis(2))) {
+                Run::Refuse => Reply::refused(Reason::Unreachable),
+                Run::Panic => panic!("scripted"),
+                Run::Lose => {
+                    note();
+                    Reply::unknown(Reason::UpstreamLost)
+                }
+                Run::Answer(time) => {
+                    note();
+                    sleep(time).await;
+                    answer(&call.request)
+                }
+            }
+        })
+    }
+}
+
+/// Returns the answer of an upstream to a request.
+pub fn answer(request: &str) -> Reply {
+    Reply {
+        verdict: Verdict::Ran,
+        reason: None,
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: Bytes::copy_from_slice(request.as_bytes()),
+        room: None,
+    }
+}
+
+/// The nodes that answer questions, by instance and incarnation.
+#[derive(Debug, Default)]
+pub struct Peers {
+    nodes: Mutex<BTreeMap<String, Arc<Local>>>,
+}
+
+impl Asker for Peers {
+    fn ask(&self, claim: Claim) -> Pending<'_, Option<Resolution<Reply>>> {
+        let node = self.nodes.lock().unwrap().get(&claim.instance).cloned();
+        Box::pin(async move {
+            sleep(Duration::from_millis(1)).await;
+            Some(node?.recall(&claim.request, claim.incarnation))
+        })
+    }
+}
+
+/// One platform and the nodes that use it, all with one upstream each.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    pub platform: Arc<Platform>,
+    pub peers: Arc<Peers>,
+    pub plan: Plan,
+}
+
+/// One node with its upstream.
+#[derive(Clone, Debug)]
+pub struct Node {
+    pub local: Arc<Local>,
+    pub upstream: Arc<Upstream>,
+    pub endpoint: Arc<Endpoint>,
+    pub stop: CancellationToken,
+    /// Cancelled when the upstream falls silent.
+    pub silent: CancellationToken,
+    announcements: Arc<AtomicU32>,
+}
+
+impl Fleet {
+    /// Starts a node, in place of an earlier incarnation if there is one.
+    pub fn start(&self, instance: &str, incarnation: u64) -> Node {
+        let context = Arc::new(context(instance, incarnation));
+        let claimant = Claimant::start(
+            instance.to_owned(),
+            ADDRESS.to_string(),
+            incarnation,
+            Arc::clone(&self.platform) as Arc<dyn Table>,
+            Arc::clone(&self.peers) as Arc<dyn Asker>,
+            self.plan,
+        );
+        let upstream = Arc::new(Upstream::default());
+        let backend = Arc::clone(&upstream) as Arc<dyn Backend>;
+        let stop = context.stop.clone();
+        let local = Arc::new(Local::with_backend(context, Some(claimant), backend));
+        let mut nodes = self.peers.nodes.lock().unwrap();
+        nodes.insert(instance.to_owned(), Arc::clone(&local));
+        let node = Node {
+            local,
+            upstream,
+            endpoint: Arc::new(endpoint(instance, incarnation)),
+            stop,
+            silent: CancellationToken::new(),
+            announcements: Arc::default(),
+        };
+        node.announce(Phase::Ready, 2);
+        node
+    }
+
+    /// Takes a node out of reach of the others.
+    pub fn lose(&self, instance: &str) {
+        self.peers.nodes.lock().unwrap().remove(instance);
+    }
+}
+
+impl Node {
+    /// Lets the upstream announce a phase and slots, again and again.
+    pub fn announce(&self, phase: Phase, slots: u32) {
+        let announcement = Announcement {
+            instance: self.endpoint.instance.clone(),
+            service: "boletas".to_owned(),
+            address: ADDRESS.to_string(),
+            incarnation: 1,
+            phase,
+            slots,
+            connections: 110,
+            load: 0,
+            healthy: true,
+        };
+        self.local.announce(&announcement);
+        let (local, silent) = (Arc::clone(&self.local), self.silent.clone());
+        let number = self.announcements.fetch_add(1, Ordering::Relaxed) + 1;
+        let latest = Arc::clone(&self.announcements);
+        tokio::spawn(async move {
+            while !silent.is_cancelled() && latest.load(Ordering::Relaxed) == number {
+                local.announce(&announcement);
+                sleep(ANNOUNCE_INTERVAL).await;
+            }
+        });
+    }
+
+    /// Executes a call here.
+    pub async fn execute(&self, call: Call) -> Reply {
+        let endpoint = Arc::clone(&self.endpoint);
+        self.local.execute(endpoint, Arc::new(call)).await
+    }
+
+    /// Executes a call here in a task of its own.
+    pub fn spawn(&self, call: Call) -> tokio::task::JoinHandle<Reply> {
+        let node = self.clone();
+        tokio::spawn(async move {
+            let endpoint = Arc::clone(&node.endpoint);
+            node.local.execute(endpoint, Arc::new(call)).await
+        })
+    }
+
+    /// Asks what became of a request, and bars it if it is unseen.
+    pub fn resolve(&self, request: &str) -> Resolution<Reply> {
+        let incarnation = self.endpoint.incarnation;
+        self.local.resolve(request, incarnation, now())
+    }
+
+    pub fn runs(&self) -> Vec<String> {
+        self.upstream.runs.lock().unwrap().clone()
+    }
+}
+
+/// Returns a call that is not idempotent and has 10 s.
+pub fn call(request: &str, key: Option<&str>) -> Call {
+    Call {
+        request: request.to_owned(),
+        service: "boletas".to_owned(),
+        caller: "garita".to_owned(),
+        method: Method::POST,
+        path: "/boletas".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(b"bale 7"),
+        idempotent: false,
+        key: key.map(ToOwned::to_owned),
+        deadline: now() + Duration::from_secs(10),
+    }
+}
+
+/// What a reply tells its caller.
+pub fn told(reply: &Reply) -> (Verdict, Option<Reason>, &[u8]) {
+    (reply.verdict, reply.reason, &reply.body)
+}
+
+pub fn not_run(reason: Reason) -> (Verdict, Option<Reason>, &'static [u8]) {
+    (Verdict::NotRun, Some(reason), b"")
+}
+
+pub fn may_have_run(reason: Reason) -> (Verdict, Option<Reason>, &'static [u8]) {
+    (Verdict::MayHaveRun, Some(reason), b"")
+}
+
+pub fn ran(request: &str) -> (Verdict, Option<Reason>, &[u8]) {
+    (Verdict::Ran, None, request.as_bytes())
+}
+
+/// Returns the context of a node without routes.
+pub fn context(instance: &str, incarnation: u64) -> Context {
+    let text = format!(
+        "[instance]\nname = {instance}\nregion = sierra\ndomain = ambato\n\
+         [listen]\ncallers = 127.60.9.1:1\npeers = 127.60.9.1:2\nadmin = 127.60.9.1:3\n\
+         [platform]\naddress = 127.60.9.2:1\n[calls]\nqueue = 3\n"
+    );
+    let settings: settings::Node = ini::read("Node", "node.ini", text.as_bytes()).unwrap();
+    let log = log::logger(&settings.log, instance);
+    Context {
+        place: Place::new(
+            instance.to_owned(),
+            "ambato".to_owned(),
+            "sierra".to_owned(),
+        ),
+        incarnation,
+        routes: ArcSwap::default(),
+        pool: Arc::new(Pool::default()),
+        stop: CancellationToken::new(),
+        history: Writer::open("", "", 0).unwrap(),
+        log,
+        settings,
+    }
+}
+
+fn endpoint(instance: &str, incarnation: u64) -> Endpoint {
+    Endpoint {
+        instance: instance.to_owned(),
+        address: ADDRESS,
+        region: "sierra".to_owned(),
+        domain: "ambato".to_owned(),
+        incarnation,
+        service: "boletas".to_owned(),
+        phase: Phase::Ready,
+        slots: 2,
+        room: 2,
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-node/tests/executor/pooled.rs
@@ -0,0 +1,83 @@
+//! Tests of verdicts over a real connection to an upstream.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use lentilshunt_core::verdict::{Reason, Verdict};
+use lentilshunt_net::{call::Reply, http::Pool};
+use lentilshunt_node::executor::{Backend, Pooled};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+
+use crate::fixture::call;
+
+/// Sends a call to an upstream that answers with `answer` and closes.
+async fn send(answer: &'static [u8]) -> Reply {
+    let address = SocketAddr::from((Ipv4Addr::new(127, 60, 8, 1), 0));
+    let listener = TcpListener::bind(address).await.unwrap();
+    let upstream = listener.local_addr().unwrap();
+    let serving = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buffer = vec![0; 4096];
+        let _read = stream.read(&mut buffer).await.unwrap();
+        stream.write_all(answer).await.unwrap();
+    });
+    let reply = exchange(upstream).await;
+    serving.await.unwrap();
+    reply
+}
+
+async fn exchange(upstream: SocketAddr) -> Reply {
+    let pooled = Pooled::new(Arc::new(Pool::default()), 1024);
+    let mut call = call("r", None);
+    call.deadline = Instant::now() + Duration::from_secs(5);
+    pooled.send(upstream, Arc::new(call)).await
+}
+
+#[tokio::test]
+async fn send_by_answer() {
+    let whole = |reply: &Reply| (reply.verdict, reply.reason, reply.status.as_u16());
+    let cases: [(&'static [u8], _); 7] = [
+        (
+            b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+            (Verdict::Ran, None, 200),
+        ),
+        (
+            b"HTTP/1.1 500 Error\r\ncontent-length: 2\r\n\r\nno",
+            (Verdict::Ran, None, 500),
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            (Verdict::Ran, None, 200),
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nok",
+            (Verdict::MayHaveRun, Some(Reason::UpstreamLost), 504),
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n",
+            (Verdict::MayHaveRun, Some(Reason::UpstreamLost), 504),
+        ),
+        (
+            b"HTTP/1.0 200 OK\r\n\r\nok",
+            (Verdict::MayHaveRun, Some(Reason::BadAnswer), 504),
+        ),
+        (b"", (Verdict::MayHaveRun, Some(Reason::UpstreamLost), 504)),
+    ];
+    for (answer, expected) in cases {
+        let text = String::from_utf8_lossy(answer);
+        assert_eq!(whole(&send(answer).await), expected, "{text}");
+    }
+}
+
+#[tokio::test]
+async fn send_refused_connection() {
+    let reply = exchange(SocketAddr::from((Ipv4Addr::new(127, 60, 8, 2), 1))).await;
+    let told = (reply.verdict, reply.reason);
+    assert_eq!(told, (Verdict::NotRun, Some(Reason::Unreachable)));
+}
