--- a/crates/lentilshunt-node/src/entry/remote.rs
+++ b/crates/lentilshunt-node/src/entry/remote.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use hyper::{Method, Request, Uri};
-use lentilshunt_core::{membership::Endpoint, verdict::Reason};
+use lentilshunt_core::{membership::Endpoint, quarantine::fingerprint, verdict::Reason};
 use lentilshunt_net::{
     Pending,
     call::{Call, Executor, Reply, read_reply, remaining_ms, write_attempt},
@@ -15,6 +15,7 @@
 };
 use lentilshunt_schema::call::{Resolution, Resolve};
 
+use super::notice::FINGERPRINT;
 use crate::{context::Context, peer::path};
 
 /// Longest wait for the answer to a resolution.
@@ -40,9 +41,14 @@
     async fn send(&self, endpoint: &Endpoint, call: &Call) -> Reply {
         let incarnation = endpoint.incarnation;
         let now = Instant::now();
-        let Ok(request) = write_attempt(path::CALL, call, incarnation, now) else {
+        let Ok(mut request) = write_attempt(path::CALL, call, incarnation, now) else {
             return Reply::refused(Reason::BadRequest);
         };
+        let method = call.method.as_str();
+        let fingerprint = fingerprint(&call.service, method, &call.path, &call.body);
+        if let Ok(value) = format!("{fingerprint:x}").parse() {
+            request.headers_mut().insert(FINGERPRINT, value);
+        }
         let exchange = Exchange {
             address: endpoint.address,
             deadline: call.deadline,
@@ -57,14 +63,13 @@
     }
 
     async fn ask(&self, endpoint: &Endpoint, call: &Call) -> Option<(Resolution, Option<Reply>)> {
-        if call.idempotent {
-            return Some((Resolution::MayHaveRun, None));
-        }
         let resolve = Resolve {
             request: call.request.clone(),
             incarnation: endpoint.incarnation,
             remaining_ms: remaining_ms(call.deadline, Instant::now()),
-            bar: true,
+            // The ledger holds no idempotent request; the question only tells
+            // whether the node answers.
+            bar: !call.idempotent,
         };
         let body = rmp_serde::to_vec_named(&resolve).ok()?;
         let mut request = Request::new(Bytes::from(body));
@@ -75,7 +80,8 @@
             deadline: Instant::now() + RESOLVE_TIMEOUT,
             limit: self.limit(),
         };
-        let response = self.context.pool.exchange(exchange, request).await.ok()?;
+        let answered = self.context.pool.exchange_fresh(exchange, request).await;
+        let response = answered.ok()?;
         let resolution = response.headers().get(path::RESOLUTION)?.to_str().ok()?;
         let resolution: Resolution = resolution.parse().ok()?;
         Some((resolution, read_reply(response)))
--- a/crates/lentilshunt-node/src/shell/mod.rs
+++ b/crates/lentilshunt-node/src/shell/mod.rs
@@ -9,9 +9,10 @@
 
 use arc_swap::ArcSwap;
 use lentilshunt_core::{
-    dissemination::{Event, Poll},
+    dissemination::{Event, Hybrid, Poll, Strategy},
     membership::Owner,
-    routing::{Nearest, Place},
+    quarantine::Suspects,
+    routing::{self, Place},
 };
 use lentilshunt_net::{
     history::{Writer, event, now_us},
@@ -27,8 +28,8 @@
 use crate::{
     admin::Admin,
     context::Context,
-    control::Control,
-    entry::{Entry, Remote},
+    control::{Control, Input},
+    entry::{Dispatcher, Entry, Guard, Remote},
     executor::{Claimant, Local, Plan, Wire},
     peer::Peer,
 };
@@ -47,14 +48,20 @@
 pub async fn run(settings: settings::Node, log: Logger, stop: CancellationToken) -> io::Result<()> {
     let metrics = meter::install();
     let context = Arc::new(context(settings, log, stop)?);
-    context.history.write(event(Kind::Started));
+    let mut started = event(Kind::Started);
+    started.detail = Some(context.settings.listen.callers.clone());
+    context.history.write(started);
     let (events, received) = mpsc::channel(QUEUE_EVENTS);
     let claimant = claimant(&context)?;
     let local = Arc::new(Local::new(Arc::clone(&context), Some(claimant)));
     let remote = Arc::new(Remote::new(Arc::clone(&context)));
     let control = control(&context, events.clone())?;
     let peer = Peer::new(Arc::clone(&context), Arc::clone(&local), events.clone());
-    let entry = Entry::new(Arc::clone(&context), local, remote, Arc::new(Nearest));
+    let suspects = Arc::new(Suspects::new(Instant::now()));
+    let peer = Guard::new(Arc::clone(&context), Arc::clone(&suspects), peer);
+    let policy = Arc::new(routing::Local);
+    let dispatcher = Dispatcher::new(Arc::clone(&context), local, remote, policy, suspects);
+    let entry = Entry::new(Arc::clone(&context), dispatcher);
     let admin = Admin::new(Arc::clone(&context), metrics);
 
     let closed = CancellationToken::new();
@@ -71,7 +78,7 @@
     info!(context.log, "the node stops");
     context.history.write(event(Kind::Stopping));
     // The control task ends with the runtime; a full queue only delays the record.
-    drop(events.send(Event::Stopping).await);
+    drop(events.send(Event::Stopping.into()).await);
     tokio::time::sleep(NOTICE).await;
     closed.cancel();
     let drained = async {
@@ -106,6 +113,7 @@
         place,
         incarnation,
         routes: ArcSwap::default(),
+        members: ArcSwap::default(),
         pool: Arc::new(Pool::from_source(own_ip(&settings)?)),
         stop,
         history,
@@ -143,7 +151,7 @@
     }
 }
 
-fn control(context: &Arc<Context>, events: mpsc::Sender<Event>) -> io::Result<Control> {
+fn control(context: &Arc<Context>, events: mpsc::Sender<Input>) -> io::Result<Control> {
     let settings = &context.settings;
     let address = address(&settings.platform.address)?;
     let timeout = Duration::from_millis(settings.platform.timeout_ms.get());
@@ -152,7 +160,13 @@
     let advertised = advertised(settings).to_owned();
     let owner = Owner::new(&context.place, advertised, context.incarnation);
     let random = StdRng::seed_from_u64(context.incarnation);
-    let strategy = Box::new(Poll::new(owner, random, Instant::now()));
+    let now = Instant::now();
+    let strategy: Box<dyn Strategy> = match settings.control.strategy {
+        settings::ControlStrategy::Hybrid => {
+            Box::new(Hybrid::new(owner, seeds(settings), random, now))
+        }
+        settings::ControlStrategy::Poll => Box::new(Poll::new(owner, random, now)),
+    };
     let table = Arc::clone(&client);
     Ok(Control::new(
         Arc::clone(context),
@@ -163,6 +177,12 @@
     ))
 }
 
+/// Returns the peer addresses that are known at start.
+fn seeds(settings: &settings::Node) -> Vec<SocketAddr> {
+    let seeds = settings.peers.seeds.split(',');
+    seeds.filter_map(|seed| seed.trim().parse().ok()).collect()
+}
+
 async fn serve(
     text: &str,
     handler: Arc<dyn Handler>,
--- a/crates/lentilshunt-node/tests/executor/fixture.rs
+++ b/crates/lentilshunt-node/tests/executor/fixture.rs
@@ -355,6 +355,7 @@
         ),
         incarnation,
         routes: ArcSwap::default(),
+        members: ArcSwap::default(),
         pool: Arc::new(Pool::default()),
         stop: CancellationToken::new(),
         history: Writer::open("", "", 0).unwrap(),
