--- a/crates/lentilshunt-core/src/retry/budget.rs
+++ b/crates/lentilshunt-core/src/retry/budget.rs
@@ -9,8 +9,8 @@
 
 /// Cost of one retry.
 const RETRY_COST: u64 = 1000;
-/// Credit of one first attempt: one retry for ten of them.
-const FIRST_CREDIT: u64 = 100;
+/// Credit of one first attempt for each percent of retries.
+const PERCENT_CREDIT: u64 = RETRY_COST / 100;
 /// Largest credit that is kept.
 const MAX_CREDIT: u64 = 50 * RETRY_COST;
 /// Retries that a service without other credit gets at once.
@@ -24,17 +24,21 @@
 /// a fixed ratio of first attempts plus a small floor however many calls fail.
 #[derive(Debug)]
 pub struct Budget {
+    earning: u64,
     credit: AtomicU64,
     floor_at: Moment,
 }
 
 impl Budget {
-    /// Creates a budget with the credit of the floor.
+    /// Creates a budget of `percent` retries for each hundred first attempts.
+    ///
+    /// It begins with the credit of the floor.
     #[must_use]
-    pub fn new(origin: Instant) -> Self {
+    pub fn new(origin: Instant, percent: u32) -> Self {
         let floor_at = Moment::new(origin);
         floor_at.set(origin + FLOOR_INTERVAL);
         Self {
+            earning: u64::from(percent) * PERCENT_CREDIT,
             credit: AtomicU64::new(FLOOR_CREDIT),
             floor_at,
         }
@@ -42,7 +46,7 @@
 
     /// Counts a first attempt.
     pub fn earn(&self) {
-        self.add(FIRST_CREDIT, MAX_CREDIT);
+        self.add(self.earning, MAX_CREDIT);
     }
 
     /// Spends the credit of one retry and returns whether there was enough.
--- a/crates/lentilshunt-core/src/retry/budgets.rs
+++ b/crates/lentilshunt-core/src/retry/budgets.rs
@@ -9,15 +9,19 @@
 #[derive(Debug)]
 pub struct Budgets {
     origin: Instant,
+    percent: u32,
     services: Registry<Budget>,
 }
 
 impl Budgets {
-    /// Creates budgets; no earlier instant may be passed in later.
+    /// Creates budgets of `percent` retries for each hundred first attempts.
+    ///
+    /// No earlier instant than `origin` may be passed in later.
     #[must_use]
-    pub fn new(origin: Instant) -> Self {
+    pub fn new(origin: Instant, percent: u32) -> Self {
         Self {
             origin,
+            percent,
             services: Registry::default(),
         }
     }
@@ -28,7 +32,7 @@
         if let Some(budget) = self.services.get(service) {
             return budget;
         }
-        let budget = Budget::new(self.origin);
+        let budget = Budget::new(self.origin, self.percent);
         self.services
             .get_or_put(service, budget, |_| true, |_| true)
     }
--- a/crates/lentilshunt-core/tests/retry.rs
+++ b/crates/lentilshunt-core/tests/retry.rs
@@ -11,6 +11,8 @@
 
 /// Retries that a service may have without any other calls.
 const FLOOR: usize = 10;
+/// Retries for each hundred first attempts.
+const PERCENT: u32 = 10;
 
 #[rstest]
 #[case(Verdict::NotRun, Some(Reason::QueueFull), false, 1, Decision::Retry)]
@@ -46,7 +48,7 @@
     #[case] expected: Decision,
 ) {
     let now = Instant::now();
-    let budget = Budget::new(now);
+    let budget = Budget::new(now, PERCENT);
     let decision = decide(verdict, reason, idempotent, attempts, &budget, now);
     assert_eq!(decision, expected);
 }
@@ -54,7 +56,7 @@
 #[test]
 fn decide_exhausted() {
     let now = Instant::now();
-    let budget = Budget::new(now);
+    let budget = Budget::new(now, PERCENT);
     let retry = |now| {
         decide(
             Verdict::NotRun,
@@ -75,7 +77,7 @@
 #[test]
 fn budget_of_service() {
     let now = Instant::now();
-    let budgets = Budgets::new(now);
+    let budgets = Budgets::new(now, PERCENT);
     let spent = (0..=FLOOR)
         .filter(|_| budgets.budget("a").spend(now))
         .count();
@@ -88,7 +90,7 @@
     #[test]
     fn budget_bound(calls in proptest::collection::vec((0_u64..50, 0_usize..4), 1..2000)) {
         let origin = Instant::now();
-        let budget = Budget::new(origin);
+        let budget = Budget::new(origin, PERCENT);
         let mut now = origin;
         let mut retries = 0;
         for (pause_ms, wanted) in &calls {
--- /dev/null
+++ b/crates/lentilshunt-node/src/entry/choice.rs
@@ -0,0 +1,16 @@
+//! The policy that the settings name.
+
+use std::sync::Arc;
+
+use lentilshunt_core::routing::{Local, Nearest, Policy, RoundRobin};
+use lentilshunt_schema::settings::{Calls, CallsPolicy};
+
+/// Creates the policy by which endpoints are chosen.
+#[must_use]
+pub fn policy(calls: &Calls) -> Arc<dyn Policy> {
+    match calls.policy {
+        CallsPolicy::Local => Arc::new(Local),
+        CallsPolicy::Nearest => Arc::new(Nearest),
+        CallsPolicy::RoundRobin => Arc::new(RoundRobin::default()),
+    }
+}
--- a/crates/lentilshunt-node/src/entry/dispatcher.rs
+++ b/crates/lentilshunt-node/src/entry/dispatcher.rs
@@ -12,7 +12,7 @@
 };
 use lentilshunt_net::call::{Call, Executor, Reply};
 
-use super::{Notice, attempt::Attempt, now};
+use super::{Notice, attempt::Attempt, meter::Meter, now};
 use crate::context::Context;
 
 /// Tries calls until they have run or may not be tried again.
@@ -26,6 +26,7 @@
     budgets: Budgets,
     suspects: Arc<Suspects>,
     notice: Notice,
+    meter: Meter,
 }
 
 /// The attempts of one call so far.
@@ -48,6 +49,7 @@
         suspects: Arc<Suspects>,
     ) -> Self {
         let now = now();
+        let budgets = Budgets::new(now, context.settings.calls.retry_percent);
         Self {
             notice: Notice::new(Arc::clone(&context)),
             context,
@@ -55,7 +57,8 @@
             remote,
             policy,
             observations: Observations::new(now),
-            budgets: Budgets::new(now),
+            budgets,
+            meter: Meter::new(),
             suspects,
         }
     }
@@ -82,7 +85,7 @@
             } = progress.last;
             let attempts = progress.tried.len();
             match decide(verdict, reason, call.idempotent, attempts, &budget, now) {
-                Decision::Retry if now < call.deadline => count_retry(reason),
+                Decision::Retry if now < call.deadline => Meter::retry(reason),
                 Decision::Retry | Decision::Stop => return progress.finish(),
                 Decision::Exhausted => return progress.refuse(Reason::RetryBudget),
             }
@@ -134,7 +137,8 @@
         let now = now();
         let outcome = Outcome::new(reply.verdict, reply.reason);
         observed.end(outcome, reply.room, now);
-        count_attempt(&reply);
+        let distance = self.context.place.distance(endpoint);
+        self.meter.attempt(distance, call, &reply);
         if reply.verdict == Verdict::Ran {
             self.suspects.clear(progress.request, now);
         } else if reply.reason == Some(Reason::UpstreamLost) {
@@ -190,16 +194,3 @@
         Reply::failed(verdict, reason)
     }
 }
-
-fn count_retry(reason: Option<Reason>) {
-    if let Some(reason) = reason {
-        metrics::counter!("lentilshunt_retries_total", "reason" => reason.to_string()).increment(1);
-    }
-}
-
-fn count_attempt(reply: &Reply) {
-    if let Some(reason) = reply.reason {
-        metrics::counter!("lentilshunt_attempt_failures_total", "reason" => reason.to_string())
-            .increment(1);
-    }
-}
--- /dev/null
+++ b/crates/lentilshunt-node/src/entry/meter.rs
@@ -0,0 +1,53 @@
+//! Counters of attempts.
+
+use std::fmt;
+
+use lentilshunt_core::{routing::Place, verdict::Reason};
+use lentilshunt_net::call::{Call, Reply};
+use metrics::{Counter, counter};
+
+/// Names of the distances, by [`Place::distance`].
+const DISTANCES: [&str; Place::DISTANCES] = ["instance", "domain", "region", "other-region"];
+
+/// Counters of attempts by distance, looked up once.
+pub(super) struct Meter {
+    attempts: [Counter; Place::DISTANCES],
+    bytes: [Counter; Place::DISTANCES],
+}
+
+impl Meter {
+    /// Creates counters at the installed recorder.
+    pub(super) fn new() -> Self {
+        let attempts = |distance| counter!("lentilshunt_attempts_total", "distance" => distance);
+        let bytes = |distance| counter!("lentilshunt_attempt_bytes_total", "distance" => distance);
+        Self {
+            attempts: DISTANCES.map(attempts),
+            bytes: DISTANCES.map(bytes),
+        }
+    }
+
+    /// Counts an attempt with the bytes of its path and bodies.
+    pub(super) fn attempt(&self, distance: usize, call: &Call, reply: &Reply) {
+        let bytes = call.path.len() + call.body.len() + reply.body.len();
+        self.attempts[distance].increment(1);
+        self.bytes[distance].increment(bytes as u64);
+        if let Some(reason) = reply.reason {
+            let reason = reason.to_string();
+            counter!("lentilshunt_attempt_failures_total", "reason" => reason).increment(1);
+        }
+    }
+
+    /// Counts a retry by the reason of the attempt before it.
+    pub(super) fn retry(reason: Option<Reason>) {
+        if let Some(reason) = reason {
+            let reason = reason.to_string();
+            counter!("lentilshunt_retries_total", "reason" => reason).increment(1);
+        }
+    }
+}
+
+impl fmt::Debug for Meter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Meter").finish_non_exhaustive()
+    }
+}
--- a/crates/lentilshunt-node/src/entry/mod.rs
+++ b/crates/lentilshunt-node/src/entry/mod.rs
@@ -1,13 +1,16 @@
 //! Takes calls of callers and sends attempts to executing nodes.
 
 mod attempt;
+mod choice;
 mod dispatcher;
 mod guard;
 mod handler;
+mod meter;
 mod notice;
 mod reader;
 mod remote;
 
+pub use choice::policy;
 pub use dispatcher::Dispatcher;
 pub use guard::Guard;
 pub use handler::Entry;
--- a/crates/lentilshunt-node/src/shell/mod.rs
+++ b/crates/lentilshunt-node/src/shell/mod.rs
@@ -12,7 +12,7 @@
     dissemination::{Event, Poll},
     membership::Owner,
     quarantine::Suspects,
-    routing::{self, Place},
+    routing::Place,
 };
 use lentilshunt_net::{
     history::{Writer, event, now_us},
@@ -29,7 +29,7 @@
     admin::Admin,
     context::Context,
     control::Control,
-    entry::{Dispatcher, Entry, Guard, Remote},
+    entry::{Dispatcher, Entry, Guard, Remote, policy},
     executor::Local,
     peer::Peer,
 };
@@ -56,7 +56,7 @@
     let peer = Peer::new(Arc::clone(&context), Arc::clone(&local), events.clone());
     let suspects = Arc::new(Suspects::new(Instant::now()));
     let peer = Guard::new(Arc::clone(&context), Arc::clone(&suspects), peer);
-    let policy = Arc::new(routing::Local);
+    let policy = policy(&context.settings.calls);
     let dispatcher = Dispatcher::new(Arc::clone(&context), local, remote, policy, suspects);
     let entry = Entry::new(Arc::clone(&context), dispatcher);
     let admin = Admin::new(Arc::clone(&context), metrics);
