--- a/crates/lentilshunt-node/src/shell/mod.rs
+++ b/crates/lentilshunt-node/src/shell/mod.rs
@@ -9,7 +9,7 @@
 
 use arc_swap::ArcSwap;
 use lentilshunt_core::{
-    dissemination::{Event, Poll},
+    dissemination::{Event, Hybrid, Poll, Strategy},
     membership::Owner,
     quarantine::Suspects,
     routing::Place,
@@ -28,9 +28,9 @@
 use crate::{
     admin::Admin,
     context::Context,
-    control::Control,
+    control::{Control, Input},
     entry::{Dispatcher, Entry, Guard, Remote, policy},
-    executor::Local,
+    executor::{Claimant, Local, Plan, Wire},
     peer::Peer,
 };
 
@@ -50,7 +50,8 @@
     let context = Arc::new(context(settings, log, stop)?);
     context.history.write(event(Kind::Started));
     let (events, received) = mpsc::channel(QUEUE_EVENTS);
-    let local = Arc::new(Local::new(Arc::clone(&context)));
+    let claimant = claimant(&context)?;
+    let local = Arc::new(Local::new(Arc::clone(&context), Some(claimant)));
     let remote = Arc::new(Remote::new(Arc::clone(&context)));
     let control = control(&context, events.clone())?;
     let peer = Peer::new(Arc::clone(&context), Arc::clone(&local), events.clone());
@@ -75,7 +76,7 @@
     info!(context.log, "the node stops");
     context.history.write(event(Kind::Stopping));
     // The control task ends with the runtime; a full queue only delays the record.
-    drop(events.send(Event::Stopping).await);
+    drop(events.send(Event::Stopping.into()).await);
     tokio::time::sleep(NOTICE).await;
     closed.cancel();
     let drained = async {
@@ -118,21 +119,51 @@
     })
 }
 
-fn control(context: &Arc<Context>, events: mpsc::Sender<Event>) -> io::Result<Control> {
+/// Creates the claimant of idempotency keys.
+fn claimant(context: &Context) -> io::Result<Claimant> {
     let settings = &context.settings;
-    let address = address(&settings.platform.address)?;
+    let source = own_ip(settings)?;
     let timeout = Duration::from_millis(settings.platform.timeout_ms.get());
-    let pool = Pool::from_source(own_ip(settings)?);
-    let client = Arc::new(platform::Client::new(address, timeout).with_pool(pool));
+    let pool = Pool::from_source(source);
+    let client =
+        platform::Client::new(address(&settings.platform.address)?, timeout).with_pool(pool);
+    let limit = usize::try_from(settings.calls.body_bytes).unwrap_or(usize::MAX);
+    Ok(Claimant::start(
+        context.place.instance.clone(),
+        advertised(settings).to_owned(),
+        context.incarnation,
+        Arc::new(client),
+        Arc::new(Wire::new(source, limit)),
+        Plan::default(),
+    ))
+}
+
+/// Returns the address at which other nodes reach this one.
+fn advertised(settings: &settings::Node) -> &str {
     let listen = &settings.listen;
-    let advertised = if listen.advertise.is_empty() {
+    if listen.advertise.is_empty() {
         &listen.peers
     } else {
         &listen.advertise
-    };
-    let owner = Owner::new(&context.place, advertised.clone(), context.incarnation);
+    }
+}
+
+fn control(context: &Arc<Context>, events: mpsc::Sender<Input>) -> io::Result<Control> {
+    let settings = &context.settings;
+    let address = address(&settings.platform.address)?;
+    let timeout = Duration::from_millis(settings.platform.timeout_ms.get());
+    let pool = Pool::from_source(own_ip(settings)?);
+    let client = Arc::new(platform::Client::new(address, timeout).with_pool(pool));
+    let advertised = advertised(settings).to_owned();
+    let owner = Owner::new(&context.place, advertised, context.incarnation);
     let random = StdRng::seed_from_u64(context.incarnation);
-    let strategy = Box::new(Poll::new(owner, random, Instant::now()));
+    let now = Instant::now();
+    let strategy: Box<dyn Strategy> = match settings.control.strategy {
+        settings::ControlStrategy::Hybrid => {
+            Box::new(Hybrid::new(owner, seeds(settings), random, now))
+        }
+        settings::ControlStrategy::Poll => Box::new(Poll::new(owner, random, now)),
+    };
     let table = Arc::clone(&client);
     Ok(Control::new(
         Arc::clone(context),
@@ -143,6 +174,12 @@
     ))
 }
 
+/// Returns the peer addresses that are known at start.
+fn seeds(settings: &settings::Node) -> Vec<SocketAddr> {
+    let seeds = settings.peers.seeds.split(',');
+    seeds.filter_map(|seed| seed.trim().parse().ok()).collect()
+}
+
 async fn serve(
     text: &str,
     handler: Arc<dyn Handler>,
--- a/crates/lentilshunt-node/tests/entry/fixture.rs
+++ b/crates/lentilshunt-node/tests/entry/fixture.rs
@@ -215,6 +215,8 @@
             domain: "d".to_owned(),
             incarnation: 1,
             sequence: 1,
+            base: 1,
+            reading: 0,
             service: "s".to_owned(),
             phase: Phase::Ready,
             slots: 8,
