--- a/crates/lentilshunt-node/src/peer/handler.rs
+++ b/crates/lentilshunt-node/src/peer/handler.rs
@@ -28,6 +28,7 @@
 
 use super::{control::control, path};
 use crate::{
+    admin::{self, OPERATE},
     context::Context,
     control::Input,
     executor::{Local, split},
@@ -70,7 +71,10 @@
             path::CONTROL => control(&self.events, request.body()).await,
             path::RESOLVE => self.resolve(request.body()),
             called if called.starts_with(path::CALL) => self.call(&request).await,
-            _ => empty(StatusCode::NOT_FOUND),
+            other => match other.strip_prefix(OPERATE) {
+                Some(question) => admin::answer(&self.context, question),
+                None => empty(StatusCode::NOT_FOUND),
+            },
         }
     }
 
--- a/crates/lentilshunt-node/src/shell/mod.rs
+++ b/crates/lentilshunt-node/src/shell/mod.rs
@@ -48,7 +48,9 @@
 pub async fn run(settings: settings::Node, log: Logger, stop: CancellationToken) -> io::Result<()> {
     let metrics = meter::install();
     let context = Arc::new(context(settings, log, stop)?);
-    context.history.write(event(Kind::Started));
+    let mut started = event(Kind::Started);
+    started.detail = Some(context.settings.listen.callers.clone());
+    context.history.write(started);
     let (events, received) = mpsc::channel(QUEUE_EVENTS);
     let claimant = claimant(&context)?;
     let local = Arc::new(Local::new(Arc::clone(&context), Some(claimant)));
@@ -111,6 +113,7 @@
         place,
         incarnation,
         routes: ArcSwap::default(),
+        members: ArcSwap::default(),
         pool: Arc::new(Pool::from_source(own_ip(&settings)?)),
         stop,
         history,
