--- a/crates/lentilshunt-load/src/caller/call.rs
+++ b/crates/lentilshunt-load/src/caller/call.rs
@@ -7,7 +7,7 @@
 };
 
 use bytes::Bytes;
-use hyper::{Request, Response};
+use hyper::{Request, Response, header::HeaderValue};
 use lentilshunt_core::verdict::Verdict;
 use lentilshunt_net::{
     call::Name,
@@ -58,7 +58,8 @@
     ///
     /// A further attempt goes to another node after a pause with full jitter.
     /// It is made after every outcome but an answer, also when the request may
-    /// have run: the key has to keep it from running twice.
+    /// have run: the key has to keep it from running twice. An attempt that
+    /// follows one with an unknown outcome is marked as a resend.
     ///
     /// # Panics
     ///
@@ -68,6 +69,7 @@
         let first = random.random_range(0..nodes.len());
         let step = random.random_range(1..nodes.len().max(2));
         let mut outcome = self.outcome(0, None, false);
+        let mut may_have_run = false;
         for attempt in 0..MAX_ATTEMPTS {
             if attempt > 0 {
                 let longest = BACKOFF * 2_u32.pow(u32::try_from(attempt - 1).unwrap_or(0));
@@ -75,7 +77,18 @@
             }
             let node = nodes[(first + attempt * step) % nodes.len()];
             let id = format!("{:016x}", random.random::<u64>());
-            outcome = self.attempt(attempt, id, node, &pool, &history).await;
+            let mut request = self.request(&id);
+            if may_have_run {
+                let headers = request.headers_mut();
+                headers.insert(Name::RESEND, HeaderValue::from_static("yes"));
+            }
+            let sent = self.sent(id, node);
+            let answer = exchange(node, request, sent, &pool, &history).await;
+            let is_own = answer
+                .as_ref()
+                .is_ok_and(|answer| *answer.body() == self.expected());
+            outcome = self.outcome(attempt + 1, verdict(&answer), is_own);
+            may_have_run |= outcome.verdict != Some(Verdict::NotRun);
             if outcome.verdict == Some(Verdict::Ran) {
                 break;
             }
@@ -83,48 +96,24 @@
         outcome
     }
 
-    async fn attempt(
-        &self,
-        number: usize,
-        id: String,
-        node: SocketAddr,
-        pool: &Pool,
-        history: &Writer,
-    ) -> Outcome {
-        let request = self.request(&id);
-        let expected = self.expected();
-        let sent = self.sent(id, node, &expected);
-        history.write(sent.clone());
-        let exchange = Exchange {
-            address: node,
-            deadline: Instant::now() + ATTEMPT_TIME + ANSWER_GRACE,
-            limit: ANSWER_LIMIT,
-        };
-        let answer = pool.exchange(exchange, request).await;
-        history.write(replied(sent, &answer));
-        let is_own = answer
-            .as_ref()
-            .is_ok_and(|answer| *answer.body() == expected);
-        self.outcome(number + 1, verdict(&answer), is_own)
-    }
-
     fn outcome(&self, attempts: usize, verdict: Option<Verdict>, is_own: bool) -> Outcome {
         Outcome {
             verdict,
             is_own_answer: is_own,
+            idempotent: self.target.idempotent,
             attempts,
             latency: self.due.elapsed(),
         }
     }
 
-    fn sent(&self, attempt: String, node: SocketAddr, expected: &Bytes) -> Event {
+    fn sent(&self, attempt: String, node: SocketAddr) -> Event {
         let mut sent = event(Kind::Sent);
         sent.key = Some(self.key.clone());
         sent.attempt = Some(attempt);
         sent.instance = Some(node.to_string());
         sent.service = Some(self.target.service.clone());
         sent.idempotent = Some(self.target.idempotent);
-        sent.expected = Some(digest(expected));
+        sent.expected = Some(digest(&self.expected()));
         sent
     }
 
@@ -153,6 +142,25 @@
     }
 }
 
+/// Sends one attempt, and records it and its reply.
+async fn exchange(
+    node: SocketAddr,
+    request: Request<Bytes>,
+    sent: Event,
+    pool: &Pool,
+    history: &Writer,
+) -> Result<Response<Bytes>, Error> {
+    history.write(sent.clone());
+    let exchange = Exchange {
+        address: node,
+        deadline: Instant::now() + ATTEMPT_TIME + ANSWER_GRACE,
+        limit: ANSWER_LIMIT,
+    };
+    let answer = pool.exchange(exchange, request).await;
+    history.write(replied(sent, &answer));
+    answer
+}
+
 fn replied(sent: Event, answer: &Result<Response<Bytes>, Error>) -> Event {
     let mut replied = sent;
     replied.at_us = now_us();
--- a/crates/lentilshunt-load/src/caller/mod.rs
+++ b/crates/lentilshunt-load/src/caller/mod.rs
@@ -1,9 +1,11 @@
 //! Sends calls at a rate and records them.
 
 mod call;
+mod direct;
 mod plan;
 mod send;
 
 pub use call::Call;
+pub use direct::{Upstream, run_direct};
 pub use plan::{Plan, Target};
 pub use send::{Outcome, run};
--- a/crates/lentilshunt-load/src/caller/send.rs
+++ b/crates/lentilshunt-load/src/caller/send.rs
@@ -20,6 +20,8 @@
     pub verdict: Option<Verdict>,
     /// Whether the body was the answer to this call.
     pub is_own_answer: bool,
+    /// Whether the call was idempotent.
+    pub idempotent: bool,
     /// Attempts that were sent.
     pub attempts: usize,
     /// Time from the planned instant of sending to the whole answer.
--- a/crates/lentilshunt-load/src/report/mod.rs
+++ b/crates/lentilshunt-load/src/report/mod.rs
@@ -1,6 +1,7 @@
 //! What a run measured, as text and JSON.
 
 mod percentile;
+mod scrape;
 mod summary;
 
 pub use percentile::Percentiles;
--- a/crates/lentilshunt-load/src/report/percentile.rs
+++ b/crates/lentilshunt-load/src/report/percentile.rs
@@ -41,6 +41,21 @@
     }
 }
 
+impl Percentiles {
+    /// Returns how much higher each percentile is than that of `other`.
+    ///
+    /// The difference of the maxima says nothing and is left out.
+    #[must_use]
+    pub fn above(&self, other: &Self) -> Self {
+        let difference = |own: Option<f64>, other: Option<f64>| Some(own? - other?);
+        Self {
+            p50: difference(self.p50, other.p50),
+            p99: difference(self.p99, other.p99),
+            max: None,
+        }
+    }
+}
+
 #[allow(clippy::cast_precision_loss, reason = "times stay far below 2^52 us")]
 fn to_ms(value: u64) -> f64 {
     value as f64 / MICROS
--- /dev/null
+++ b/crates/lentilshunt-load/src/report/scrape.rs
@@ -0,0 +1,37 @@
+//! Reads the counters of nodes.
+
+use super::ControlBytes;
+
+/// Start of the lines that count control bytes.
+const CONTROL_BYTES: &str = "lentilshunt_control_bytes_total{";
+
+impl ControlBytes {
+    /// Sums the control bytes over the metrics of nodes, as their admin addresses show them.
+    ///
+    /// A class of link that no node counts is null.
+    #[must_use]
+    pub fn sum<'a>(metrics: impl IntoIterator<Item = &'a str>) -> Self {
+        let mut sum = Self::default();
+        for line in metrics.into_iter().flat_map(str::lines) {
+            sum.add(line);
+        }
+        sum
+    }
+
+    fn add(&mut self, line: &str) -> Option<()> {
+        let (labels, value) = line.strip_prefix(CONTROL_BYTES)?.split_once("} ")?;
+        let bytes: u64 = value.trim().parse().ok()?;
+        let class = labels
+            .split(',')
+            .find_map(|label| label.strip_prefix("link="))?;
+        let total = match class.trim_matches('"').replace('-', "_").as_str() {
+            "same_domain" => &mut self.same_domain,
+            "other_domain" => &mut self.other_domain,
+            "other_region" => &mut self.other_region,
+            "platform" => &mut self.platform,
+            _ => return None,
+        };
+        *total = Some(total.unwrap_or_default() + bytes);
+        Some(())
+    }
+}
--- a/crates/lentilshunt-load/src/report/summary.rs
+++ b/crates/lentilshunt-load/src/report/summary.rs
@@ -2,10 +2,11 @@
 
 use std::fmt;
 
+use lentilshunt_schema::history::{Event, Kind};
 use serde::Serialize;
 
 use super::Percentiles;
-use crate::check;
+use crate::check::{self, Promise};
 
 /// Control bytes by class of link; null when not measured.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
@@ -65,13 +66,25 @@
     pub routes_dangling: Option<u64>,
     /// Latency added to a call by the nodes.
     pub added_latency_ms: Percentiles,
+    /// Every broken promise, also those that have no count of their own.
+    pub violations: Vec<String>,
 }
 
 impl Report {
-    /// Creates the report of a judged history.
+    /// Creates the report of a history.
     #[must_use]
-    pub fn new(nodes: usize, runs: &check::Runs, versions: &check::Versions) -> Self {
+    pub fn new(nodes: usize, history: &[Event]) -> Self {
+        let runs = check::Runs::judge(history);
+        let versions = check::Versions::judge(history);
+        let violations = check::judge(history);
+        let dangling = violations
+            .iter()
+            .filter(|violation| violation.promise == Promise::KnownRoutes)
+            .count();
+        let is_observed = history.iter().any(|event| event.kind == Kind::Routes);
         Self {
+            routes_dangling: is_observed.then_some(dangling as u64),
+            violations: violations.iter().map(ToString::to_string).collect(),
             nodes,
             convergence_ms: Percentiles::of_us(versions.convergence_us.iter().copied()),
             calls: Calls {
@@ -91,27 +104,39 @@
         }
     }
 
+    /// Adds the control bytes that nodes counted.
+    #[must_use]
+    pub fn with_control_bytes(mut self, bytes: ControlBytes) -> Self {
+        self.control_bytes = bytes;
+        self
+    }
+
+    /// Adds the latency that the nodes added to a call.
+    #[must_use]
+    pub fn with_added_latency(mut self, added: Percentiles) -> Self {
+        self.added_latency_ms = added;
+        self
+    }
+
     /// Returns whether a promise was broken.
     #[must_use]
     pub fn has_violation(&self) -> bool {
-        let broken = [
-            self.calls.lost,
-            self.calls.duplicated,
-            self.versions.moved_back,
-            self.versions.partial,
-            self.routes_dangling.unwrap_or_default(),
-        ];
-        broken.iter().any(|count| *count > 0)
+        !self.violations.is_empty()
     }
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let calls = &self.calls;
+        let bytes = &self.control_bytes;
         let rows = [
             ("nodes", self.nodes.to_string()),
             ("convergence p50/p99/max ms", line(&self.convergence_ms)),
             ("added latency p50/p99/max ms", line(&self.added_latency_ms)),
+            ("control bytes, domain", optional(bytes.same_domain)),
+            ("control bytes, other domain", optional(bytes.other_domain)),
+            ("control bytes, other region", optional(bytes.other_region)),
+            ("control bytes, platform", optional(bytes.platform)),
             ("calls sent", calls.sent.to_string()),
             ("calls answered", calls.answered.to_string()),
             ("calls refused, not run", calls.refused_not_run.to_string()),
@@ -126,6 +151,9 @@
         for (name, value) in rows {
             writeln!(f, "{name:<30} {value}")?;
         }
+        for violation in &self.violations {
+            writeln!(f, "broken: {violation}")?;
+        }
         Ok(())
     }
 }
--- a/crates/lentilshunt-net/src/call/header.rs
+++ b/crates/lentilshunt-net/src/call/header.rs
@@ -25,6 +25,8 @@
     pub const REQUEST: &'static str = "lentilshunt-request";
     /// Free slots of the executing node; between nodes only.
     pub const ROOM: &'static str = "lentilshunt-room";
+    /// Marks a request that its caller has sent before without learning its outcome.
+    pub const RESEND: &'static str = "lentilshunt-resend";
     /// Service of a request.
     pub const SERVICE: &'static str = "lentilshunt-service";
     /// Whether a request may have run.
