--- a/crates/lentilshunt-node/src/peer/handler.rs
+++ b/crates/lentilshunt-node/src/peer/handler.rs
@@ -26,9 +26,11 @@
 };
 use tokio::sync::mpsc;
 
-use super::path;
+use super::{control::control, path};
 use crate::{
+    admin::{self, OPERATE},
     context::Context,
+    control::Input,
     executor::{Local, split},
 };
 
@@ -40,13 +42,13 @@
 pub struct Peer {
     context: Arc<Context>,
     local: Arc<Local>,
-    events: mpsc::Sender<Event>,
+    events: mpsc::Sender<Input>,
 }
 
 impl Peer {
     /// Creates the handler.
     #[must_use]
-    pub fn new(context: Arc<Context>, local: Arc<Local>, events: mpsc::Sender<Event>) -> Self {
+    pub fn new(context: Arc<Context>, local: Arc<Local>, events: mpsc::Sender<Input>) -> Self {
         Self {
             context,
             local,
@@ -66,9 +68,13 @@
         let request = Request::from_parts(parts, body.to_bytes());
         match request.uri().path() {
             path::ANNOUNCE => self.announce(request.body()).await,
+            path::CONTROL => control(&self.events, request.body()).await,
             path::RESOLVE => self.resolve(request.body()),
             called if called.starts_with(path::CALL) => self.call(&request).await,
-            _ => empty(StatusCode::NOT_FOUND),
+            other => match other.strip_prefix(OPERATE) {
+                Some(question) => admin::answer(&self.context, question),
+                None => empty(StatusCode::NOT_FOUND),
+            },
         }
     }
 
@@ -80,7 +86,11 @@
             return empty(StatusCode::FORBIDDEN);
         }
         self.local.announce(&announcement);
-        drop(self.events.send(Event::Announced(announcement)).await);
+        drop(
+            self.events
+                .send(Event::Announced(announcement).into())
+                .await,
+        );
         empty(StatusCode::OK)
     }
 
