--- a/crates/lentilshunt-load/src/chaos/load.rs
+++ b/crates/lentilshunt-load/src/chaos/load.rs
@@ -119,6 +119,7 @@
         method: "DELETE".to_owned(),
         path: format!("/{operation}/**"),
     });
+    service.non_idempotent.sort();
     if has_more {
         let service = service.clone();
         changed.services.insert(PASSING_SERVICE.to_owned(), service);
--- a/crates/lentilshunt-node/src/entry/handler.rs
+++ b/crates/lentilshunt-node/src/entry/handler.rs
@@ -5,9 +5,10 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming};
+use lentilshunt_core::verdict::Verdict;
 use lentilshunt_net::{
     Pending,
-    call::{Reply, write_reply},
+    call::{Name, Reply, write_reply},
     http::Handler,
 };
 
@@ -32,6 +33,7 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let is_resend = request.headers().contains_key(Name::RESEND);
         let mut reply = match read(&self.context, request).await {
             Ok(call) => self.dispatcher.dispatch(Arc::new(call)).await,
             Err(reason) => Reply::refused(reason),
@@ -40,6 +42,10 @@
             metrics::counter!("lentilshunt_refusals_total", "reason" => reason.to_string())
                 .increment(1);
         }
+        if is_resend && reply.verdict == Verdict::NotRun {
+            // Whether an earlier attempt of the caller ran is not known here.
+            reply.verdict = Verdict::MayHaveRun;
+        }
         // The room of the executing node is for nodes only.
         reply.room = None;
         write_reply(reply).map(Full::new)
