--- a/crates/lentilshunt-node/tests/entry/fixture.rs
+++ b/crates/lentilshunt-node/tests/entry/fixture.rs
@@ -195,6 +195,7 @@
         pool: Arc::new(Pool::default()),
         stop: CancellationToken::new(),
         history: Writer::open("", "test", 1).expect("no file"),
+        members: ArcSwap::default(),
         log,
         settings,
     })
