fix(http): keep idle connections open while a server stops

Answers during the notice now ask the client to close, and a connection that stays idle is closed a second later than clients give it up. Ruled out: closing at once after the notice, as before; a longer notice alone, which leaves the same race. Before: http_server run_idle_connection_while_closed fails with a refused connection when the pause is left out. After: it passes.

--- a/crates/lentilshunt-net/src/http/mod.rs
+++ b/crates/lentilshunt-net/src/http/mod.rs
@@ -7,9 +7,11 @@
 mod pool;
 mod server;
 mod silence;
+mod stop;
 
 pub use error::Error;
 pub use exchange::Exchange;
 pub use handler::{Handler, empty, whole};
 pub use pool::Pool;
 pub use server::Server;
+pub use stop::Stop;
--- a/crates/lentilshunt-net/src/http/server.rs
+++ b/crates/lentilshunt-net/src/http/server.rs
@@ -2,12 +2,16 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use hyper::{server::conn::http1, service::service_fn};
+use hyper::{
+    header::{CONNECTION, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use super::Handler;
+use super::{Handler, Stop, lane::IDLE_TIME};
 
 /// Pause after the listener failed to accept, for example without free descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -18,6 +22,12 @@
 /// request is on its way.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time after the listener closed for which idle connections are kept.
+///
+/// Clients give up idle connections earlier, so that none is closed while a
+/// request is on its way.
+const LINGER: Duration = IDLE_TIME.saturating_add(Duration::from_secs(1));
+
 /// A server that answers requests by a [`Handler`] until it is stopped.
 #[derive(Debug)]
 pub struct Server {
@@ -45,13 +55,17 @@
         self.listener.local_addr()
     }
 
-    /// Answers requests until `stop` is cancelled and all requests in flight are answered.
-    pub async fn run(self, stop: CancellationToken) {
+    /// Answers requests until it is closed and all requests in flight are answered.
+    ///
+    /// From `stop.leaving` on, each answer asks the client to close its
+    /// connection. From `stop.closed` on, no connection is accepted, and a
+    /// connection that stays idle is closed later than clients give it up.
+    pub async fn run(self, stop: Stop) {
         let connections = TaskTracker::new();
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
-                () = stop.cancelled() => break,
+                () = stop.closed.cancelled() => break,
             };
             match accepted {
                 Ok((stream, _peer)) => {
@@ -67,13 +81,21 @@
     }
 }
 
-async fn connection(stream: TcpStream, handler: Arc<dyn Handler>, stop: CancellationToken) {
+async fn connection(stream: TcpStream, handler: Arc<dyn Handler>, stop: Stop) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
     let service = service_fn(|request| {
         let handler = Arc::clone(&handler);
-        async move { Ok::<_, std::convert::Infallible>(handler.handle(request).await) }
+        let leaving = &stop.leaving;
+        async move {
+            let mut response = handler.handle(request).await;
+            if leaving.is_cancelled() {
+                let headers = response.headers_mut();
+                headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, std::convert::Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -83,9 +105,14 @@
     tokio::select! {
         // A client that closes early is not an error of the server.
         _ended = connection.as_mut() => {}
-        () = stop.cancelled() => {
+        () = lingered(&stop.closed) => {
             connection.as_mut().graceful_shutdown();
             drop(connection.await);
         }
     }
 }
+
+async fn lingered(closed: &CancellationToken) {
+    closed.cancelled().await;
+    tokio::time::sleep(LINGER).await;
+}
--- /dev/null
+++ b/crates/lentilshunt-net/tests/http_server.rs
@@ -0,0 +1,86 @@
+//! A server that stops keeps its promises to connected clients.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode, body::Incoming, header::CONNECTION};
+use lentilshunt_net::{
+    Pending,
+    http::{Exchange, Handler, Pool, Server, Stop, whole},
+};
+use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+
+const ANY_PORT: &str = "127.0.0.1:0";
+const PATIENCE: Duration = Duration::from_secs(10);
+
+#[derive(Debug)]
+struct Greeter;
+
+impl Handler for Greeter {
+    fn handle(&self, _request: Request<Incoming>) -> Pending<'_, Response<Full<Bytes>>> {
+        Box::pin(async { whole(StatusCode::OK, "whole") })
+    }
+}
+
+async fn start() -> (SocketAddr, Stop, JoinHandle<()>) {
+    let address = ANY_PORT.parse().expect("an address");
+    let server = Server::bind(address, Arc::new(Greeter))
+        .await
+        .expect("a free port");
+    let address = server.address().expect("a bound socket");
+    let stop = Stop::default();
+    (address, stop.clone(), tokio::spawn(server.run(stop)))
+}
+
+async fn call(pool: &Pool, address: SocketAddr) -> (Option<String>, Bytes) {
+    let exchange = Exchange {
+        address,
+        deadline: Instant::now() + PATIENCE,
+        limit: 1024,
+    };
+    let answer = pool
+        .exchange(exchange, Request::new(Bytes::new()))
+        .await
+        .expect("an answer");
+    let connection = answer.headers().get(CONNECTION);
+    let connection = connection.map(|value| value.to_str().expect("text").to_owned());
+    (connection, answer.into_body())
+}
+
+#[tokio::test]
+async fn run_idle_connection_while_closed() {
+    let (address, stop, running) = start().await;
+    let pool = Pool::default();
+    let body = Bytes::from_static(b"whole");
+    assert_eq!(call(&pool, address).await, (None, body.clone()));
+    stop.leaving.cancel();
+    stop.closed.cancel();
+    while TcpStream::connect(address).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+    let close = Some("close".to_owned());
+    assert_eq!(call(&pool, address).await, (close, body));
+    timeout(PATIENCE, running)
+        .await
+        .expect("the server ends")
+        .expect("no panic");
+}
+
+#[tokio::test]
+async fn run_new_connection_while_leaving() {
+    let (address, stop, running) = start().await;
+    stop.leaving.cancel();
+    let close = Some("close".to_owned());
+    let body = Bytes::from_static(b"whole");
+    assert_eq!(call(&Pool::default(), address).await, (close, body));
+    stop.closed.cancel();
+    timeout(PATIENCE, running)
+        .await
+        .expect("the server ends")
+        .expect("no panic");
+}
--- a/crates/lentilshunt-node/src/shell/mod.rs
+++ b/crates/lentilshunt-node/src/shell/mod.rs
@@ -16,7 +16,7 @@
 };
 use lentilshunt_net::{
     history::{Writer, event, now_us},
-    http::{Handler, Pool, Server},
+    http::{Handler, Pool, Server, Stop},
     meter, platform,
 };
 use lentilshunt_schema::{history::Kind, settings};
@@ -64,13 +64,16 @@
     let entry = Entry::new(Arc::clone(&context), dispatcher);
     let admin = Admin::new(Arc::clone(&context), metrics);
 
-    let closed = CancellationToken::new();
+    let stop = Stop {
+        leaving: context.stop.clone(),
+        closed: CancellationToken::new(),
+    };
     let listen = &context.settings.listen;
     let servers = [
-        serve(&listen.callers, Arc::new(entry), &closed).await?,
-        serve(&listen.peers, Arc::new(peer), &closed).await?,
+        serve(&listen.callers, Arc::new(entry), &stop).await?,
+        serve(&listen.peers, Arc::new(peer), &stop).await?,
     ];
-    let admin = serve(&listen.admin, Arc::new(admin), &closed).await?;
+    let admin = serve(&listen.admin, Arc::new(admin), &stop).await?;
     let controlling = tokio::spawn(control.run(received));
     info!(context.log, "the node runs"; "instance" => &context.place.instance);
 
@@ -80,7 +83,7 @@
     // The control task ends with the runtime; a full queue only delays the record.
     drop(events.send(Event::Stopping.into()).await);
     tokio::time::sleep(NOTICE).await;
-    closed.cancel();
+    stop.closed.cancel();
     let drained = async {
         for server in servers {
             drop(server.await);
@@ -183,13 +186,9 @@
     seeds.filter_map(|seed| seed.trim().parse().ok()).collect()
 }
 
-async fn serve(
-    text: &str,
-    handler: Arc<dyn Handler>,
-    closed: &CancellationToken,
-) -> io::Result<JoinHandle<()>> {
+async fn serve(text: &str, handler: Arc<dyn Handler>, stop: &Stop) -> io::Result<JoinHandle<()>> {
     let server = Server::bind(address(text)?, handler).await?;
-    Ok(tokio::spawn(server.run(closed.clone())))
+    Ok(tokio::spawn(server.run(stop.clone())))
 }
 
 /// Returns the address that connections to other processes come from.
--- a/crates/lentilshunt-standin/src/bin/link.rs
+++ b/crates/lentilshunt-standin/src/bin/link.rs
@@ -2,7 +2,7 @@
 
 use std::{process::ExitCode, sync::Arc};
 
-use lentilshunt_net::http::Server;
+use lentilshunt_net::http::{Server, Stop};
 use lentilshunt_schema::settings;
 use lentilshunt_standin::{link::Admin, start};
 use tokio_util::sync::CancellationToken;
@@ -33,6 +33,6 @@
     };
     let stop = CancellationToken::new();
     tokio::spawn(start::stop_on_signal(stop.clone()));
-    server.run(stop).await;
+    server.run(Stop::at_once(stop)).await;
     ExitCode::SUCCESS
 }
--- a/crates/lentilshunt-standin/src/bin/platform.rs
+++ b/crates/lentilshunt-standin/src/bin/platform.rs
@@ -2,7 +2,7 @@
 
 use std::{process::ExitCode, sync::Arc, time::Instant};
 
-use lentilshunt_net::http::Server;
+use lentilshunt_net::http::{Server, Stop};
 use lentilshunt_schema::settings;
 use lentilshunt_standin::{platform::Platform, start};
 use tokio_util::sync::CancellationToken;
@@ -34,6 +34,6 @@
     };
     let stop = CancellationToken::new();
     tokio::spawn(start::stop_on_signal(stop.clone()));
-    server.run(stop).await;
+    server.run(Stop::at_once(stop)).await;
     ExitCode::SUCCESS
 }
