--- a/crates/lentilshunt-load/src/fleet/remote.rs
+++ b/crates/lentilshunt-load/src/fleet/remote.rs
@@ -14,9 +14,10 @@
 };
 use lentilshunt_schema::{
     history::Kind,
+    operate::Routes,
     platform::{Direction, Fault, Forward, Links, Source},
 };
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
 use super::{Layout, Server};
 
@@ -28,7 +29,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Routes that a node shows on its admin address.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Shown {
     /// Version in force.
     pub version: u64,
@@ -46,7 +47,9 @@
     /// Returns the routes that a node shows; none when it does not answer.
     pub async fn routes(&self, server: &Server) -> Option<Shown> {
         let body = self.get(server.admin(), "/routes").await?;
-        serde_json::from_slice(&body).ok()
+        serde_json::from_slice::<Routes>(&body)
+            .ok()
+            .map(Shown::from)
     }
 
     /// Returns the metrics of a node as text; none when it does not answer.
@@ -167,6 +170,20 @@
     }
 }
 
+impl From<Routes> for Shown {
+    fn from(shown: Routes) -> Self {
+        let routes = shown.routes.into_iter().map(|route| {
+            let endpoints = route.endpoints.into_iter();
+            let instances = endpoints.map(|endpoint| endpoint.instance);
+            (route.service, instances.collect())
+        });
+        Self {
+            version: shown.version,
+            routes: routes.collect(),
+        }
+    }
+}
+
 impl Shown {
     fn is_ready(&self, layout: &Layout, version: u64) -> bool {
         let mut wanted: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
