--- a/crates/lentilshunt-load/src/chaos/run.rs
+++ b/crates/lentilshunt-load/src/chaos/run.rs
@@ -54,6 +54,8 @@
     pub seed: u64,
     /// Time in which disturbances begin.
     pub duration: Duration,
+    /// Whether only planned stops happen.
+    pub planned: bool,
     /// Folder of the built programs.
     pub programs: PathBuf,
     /// Folder of settings, logs and history; emptied first.
@@ -82,7 +84,7 @@
 /// not become ready.
 pub async fn run(options: &Options) -> Result<Verdict, Error> {
     let layout = Layout::new(&options.snapshot, options.servers, options.network).with_links();
-    let steps = schedule(&layout, options.seed, options.duration);
+    let steps = schedule(&layout, options.seed, options.duration, options.planned);
     let fleet = Fleet::start(layout, &options.programs, &options.folder)?;
     let file = fleet.history();
     let history = Writer::open(&file.display().to_string(), "chaos", now_us())?;
--- a/crates/lentilshunt-load/src/chaos/schedule.rs
+++ b/crates/lentilshunt-load/src/chaos/schedule.rs
@@ -18,19 +18,21 @@
 
 /// Draws the disturbances of a run in the order of their begins.
 ///
+/// A run that is `planned` has planned stops only; any other begins with them.
 /// The same layout, seed and duration give the same steps. Some disturbances
 /// come at the same instant as the one before, and some come twice.
 #[must_use]
-pub fn schedule(layout: &Layout, seed: u64, duration: Duration) -> Vec<Step> {
+pub fn schedule(layout: &Layout, seed: u64, duration: Duration, planned: bool) -> Vec<Step> {
     let mut draw = Draw {
         layout,
         random: StdRng::seed_from_u64(seed),
     };
     let end = duration.as_secs_f64();
+    let planned_part = if planned { 1.0 } else { PLANNED_PART };
     let mut steps = Vec::new();
     let mut at = 0.2;
     while at < end {
-        let trouble = if at < end * PLANNED_PART {
+        let trouble = if at < end * planned_part {
             draw.planned()
         } else {
             draw.any()
--- a/crates/lentilshunt-load/src/fleet/mod.rs
+++ b/crates/lentilshunt-load/src/fleet/mod.rs
@@ -1,10 +1,12 @@
 //! Lays out and starts the processes of a fleet.
 
+mod example;
 mod layout;
 mod process;
 mod remote;
 mod running;
 
+pub use example::example;
 pub use layout::{Layout, Server};
 pub use process::Process;
 pub use remote::{Remote, Shown};
--- a/xtask/src/chaos/mod.rs
+++ b/xtask/src/chaos/mod.rs
@@ -6,10 +6,13 @@
 };
 
 use bpaf::Bpaf;
-use lentilshunt_load::chaos::{self, Options, Verdict};
+use lentilshunt_load::{
+    chaos::{self, Options, Verdict},
+    fleet::example,
+};
 use snafu::{ResultExt, Whatever, ensure_whatever};
 
-use crate::{cargo::cargo, example::example};
+use crate::cargo::cargo;
 
 /// Violations of one run that are printed.
 const PRINTED: usize = 12;
@@ -32,6 +35,8 @@
     /// Servers of each service
     #[bpaf(argument("COUNT"), fallback(4), display_fallback)]
     servers: usize,
+    /// Only planned stops
+    planned: bool,
     /// Second part of the loopback addresses
     #[bpaf(argument("NETWORK"), fallback(30), display_fallback)]
     network: u8,
@@ -70,12 +75,14 @@
 }
 
 fn options(root: &Path, arguments: &Arguments, seed: u64) -> Result<Options, Whatever> {
+    let example_folder = root.join("examples").join(&arguments.inventory);
     Ok(Options {
-        snapshot: example(root, &arguments.inventory)?,
+        snapshot: example(&example_folder).whatever_context("the example is invalid")?,
         servers: arguments.servers,
         network: arguments.network,
         seed,
         duration: Duration::from_secs(arguments.duration),
+        planned: arguments.planned,
         programs: root.join("target/debug"),
         folder: folder(root, seed),
     })
@@ -87,8 +94,12 @@
 
 fn command(arguments: &Arguments, seed: u64) -> String {
     format!(
-        "cargo xtask chaos --inventory {} --seed {seed} --duration {} --servers {} --network {}",
-        arguments.inventory, arguments.duration, arguments.servers, arguments.network
+        "cargo xtask chaos --inventory {} --seed {seed} --duration {} --servers {} --network {}{}",
+        arguments.inventory,
+        arguments.duration,
+        arguments.servers,
+        arguments.network,
+        if arguments.planned { " --planned" } else { "" }
     )
 }
 
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,7 +4,6 @@
 mod cargo;
 mod chaos;
 mod demo;
-mod example;
 mod generate;
 mod lint;
 mod test;
