--- a/crates/lentilshunt-node/tests/entry/fixture.rs
+++ b/crates/lentilshunt-node/tests/entry/fixture.rs
@@ -190,6 +190,7 @@
     let log = log::logger(&settings.log, "own");
     Arc::new(Context {
         routes: ArcSwap::from_pointee(table(count, &place)),
+        members: ArcSwap::default(),
         place,
         incarnation: 1,
         pool: Arc::new(Pool::default()),
