feat(bench): measure latency, goodput and locality of calls side by side

cargo xtask bench path sends the same calls straight to upstreams and through one and two nodes, and offers half to four times the capacity to each policy and retry budget, with and without retries of callers. Not run yet on a quiet machine, so this commit holds no figure.

--- a/crates/lentilshunt-load/src/fleet/layout.rs
+++ b/crates/lentilshunt-load/src/fleet/layout.rs
@@ -86,6 +86,8 @@
     pub run_us: u64,
     /// Whether processes of different instances meet through the link stand-in.
     pub has_links: bool,
+    /// Lines of the section `[calls]` of every node.
+    pub calls: String,
 }
 
 impl Layout {
@@ -125,6 +127,7 @@
             servers,
             run_us: 2000,
             has_links: false,
+            calls: String::new(),
         }
     }
 
@@ -206,6 +209,7 @@
              [listen]\ncallers = {}\npeers = {}\nadmin = {}\nadvertise = {}\n\
              [platform]\naddress = {}\n\
              [peers]\nseeds = {}\n\
+             [calls]\n{}\n\
              [log]\nlevel = info\n\
              [history]\nfile = {}\n",
             server.instance,
@@ -217,6 +221,7 @@
             self.advertised(server),
             self.platform_of_nodes(),
             seeds.join(", "),
+            self.calls,
             history.display(),
         )
     }
--- /dev/null
+++ b/xtask/src/bench/path/mod.rs
@@ -0,0 +1,65 @@
+//! Measures latency, goodput and locality of calls.
+
+mod client;
+mod goodput;
+mod latency;
+mod report;
+mod scene;
+
+use std::{fs, path::Path};
+
+use bpaf::Bpaf;
+use snafu::{ResultExt, Whatever};
+
+use self::report::Report;
+use crate::cargo::cargo;
+
+/// Programs that the fleet consists of.
+const PACKAGES: [&str; 4] = ["-p", "lentilshunt-node", "-p", "lentilshunt-standin"];
+
+/// Arguments of the measurement.
+#[derive(Bpaf, Clone, Debug)]
+pub struct Arguments {
+    /// Seed of all random choices
+    #[bpaf(argument("SEED"), fallback(1), display_fallback)]
+    seed: u64,
+    /// Second part of the loopback addresses
+    #[bpaf(argument("NETWORK"), fallback(55), display_fallback)]
+    network: u8,
+    /// Seconds of each step
+    #[bpaf(argument("SECONDS"), fallback(4), display_fallback)]
+    duration: u64,
+    /// Skips the latency
+    skip_latency: bool,
+    /// Skips the goodput
+    skip_goodput: bool,
+}
+
+/// Runs the measurement and writes `target/bench/path.json`.
+///
+/// # Errors
+///
+/// Returns an error when a step fails; a missed target is only reported.
+pub fn run(root: &Path, arguments: &Arguments) -> Result<(), Whatever> {
+    let build = [&["build", "--release"], &PACKAGES[..]].concat();
+    cargo(root, &build, &[])?;
+    let runtime = tokio::runtime::Runtime::new().whatever_context("no runtime")?;
+    let report = runtime.block_on(measure(root, arguments))?;
+    println!("{report}");
+    let folder = root.join("target/bench");
+    fs::create_dir_all(&folder).whatever_context("no folder for the report")?;
+    let json = serde_json::to_string_pretty(&report).whatever_context("no report")?;
+    fs::write(folder.join("path.json"), json).whatever_context("the report cannot be written")
+}
+
+async fn measure(root: &Path, arguments: &Arguments) -> Result<Report, Whatever> {
+    let mut report = Report::new(arguments.seed, arguments.network, arguments.duration);
+    if !arguments.skip_latency {
+        report.latency = latency::measure(root, arguments).await?;
+    }
+    if !arguments.skip_goodput {
+        report.goodput = goodput::measure(root, arguments).await?;
+    }
+    report.load_after = report::load();
+    Ok(report)
+}
--- /dev/null
+++ b/xtask/src/bench/path/report.rs
@@ -0,0 +1,148 @@
+//! What the measurement found.
+
+use std::{fmt, fs};
+
+use lentilshunt_load::report::Percentiles;
+use serde::Serialize;
+
+/// Latency that a hop may add to 99 of 100 calls, in milliseconds.
+const ADDED_TARGET_MS: f64 = 0.4;
+/// Part of the peak that goodput keeps under overload.
+const GOODPUT_TARGET: f64 = 0.9;
+
+/// Latency of one kind of call at one rate.
+#[derive(Clone, Debug, Serialize)]
+pub struct Latency {
+    /// Calls each second, of all kinds together.
+    pub rate: f64,
+    /// Way of the calls: `direct`, `one-hop` or `two-hops`.
+    pub way: &'static str,
+    /// Calls answered.
+    pub answered: usize,
+    /// Calls not answered.
+    pub failed: usize,
+    /// Latency from sending to the whole answer.
+    pub time_ms: Percentiles,
+    /// Median less the median of `direct`.
+    pub added_p50_ms: Option<f64>,
+    /// 99th percentile less that of `direct`.
+    pub added_p99_ms: Option<f64>,
+}
+
+/// Goodput of one way at one offered load.
+#[derive(Clone, Debug, Serialize)]
+pub struct Goodput {
+    /// Policy and retry budget of the nodes.
+    pub way: &'static str,
+    /// Whether callers send failed calls again.
+    pub caller_retries: bool,
+    /// Offered load as a multiple of the capacity.
+    pub offered: f64,
+    /// First attempts of callers each second.
+    pub calls_per_second: f64,
+    /// Calls answered in time each second.
+    pub answered_per_second: f64,
+    /// Attempts of nodes for each call.
+    pub attempts_per_call: f64,
+    /// Payload bytes between regions for each call.
+    pub region_bytes_per_call: f64,
+    /// Latency of the calls that were answered in time.
+    pub time_ms: Percentiles,
+}
+
+/// Everything that the measurement found.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Command that makes this report.
+    pub command: String,
+    /// Load averages of the machine before the measurement.
+    pub load_before: String,
+    /// Load averages of the machine after it.
+    pub load_after: String,
+    /// Latencies.
+    pub latency: Vec<Latency>,
+    /// Goodputs.
+    pub goodput: Vec<Goodput>,
+}
+
+impl Report {
+    /// Creates a report without figures.
+    pub fn new(seed: u64, network: u8, duration: u64) -> Self {
+        Self {
+            command: format!(
+                "cargo xtask bench path --seed {seed} --network {network} --duration {duration}"
+            ),
+            load_before: load(),
+            load_after: String::new(),
+            latency: Vec::new(),
+            goodput: Vec::new(),
+        }
+    }
+
+    /// Returns the highest goodput of a way.
+    fn peak(&self, measured: &Goodput) -> f64 {
+        let same = self.goodput.iter().filter(|other| {
+            other.way == measured.way && other.caller_retries == measured.caller_retries
+        });
+        same.map(|other| other.answered_per_second)
+            .fold(0.0, f64::max)
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{}", self.command)?;
+        writeln!(f, "load {} / {}", self.load_before, self.load_after)?;
+        for row in &self.latency {
+            let verdict = row.added_p99_ms.map_or("", |added| {
+                if added <= ADDED_TARGET_MS {
+                    "met"
+                } else {
+                    "missed"
+                }
+            });
+            writeln!(
+                f,
+                "{:>6}/s {:<9} p50 {:>7.3} p99 {:>7.3} added {:>6.3} {:>6.3} ms {verdict} ({} failed)",
+                row.rate,
+                row.way,
+                row.time_ms.p50.unwrap_or_default(),
+                row.time_ms.p99.unwrap_or_default(),
+                row.added_p50_ms.unwrap_or_default(),
+                row.added_p99_ms.unwrap_or_default(),
+                row.failed,
+            )?;
+        }
+        for row in &self.goodput {
+            let part = row.answered_per_second / self.peak(row).max(1.0);
+            let verdict = if row.offered < 2.0 {
+                ""
+            } else if part >= GOODPUT_TARGET {
+                "met"
+            } else {
+                "missed"
+            };
+            writeln!(
+                f,
+                "{:<22} retries {:<5} {:>3}x {:>6.0}/s goodput {:>6.0}/s {:>4.0}% of peak {verdict:<6} \
+                 {:.2} attempts, {:.0} bytes abroad, p99 {:.1} ms",
+                row.way,
+                row.caller_retries,
+                row.offered,
+                row.calls_per_second,
+                row.answered_per_second,
+                part * 100.0,
+                row.attempts_per_call,
+                row.region_bytes_per_call,
+                row.time_ms.p99.unwrap_or_default(),
+            )?;
+        }
+        Ok(())
+    }
+}
+
+/// Returns the load averages of the machine.
+pub fn load() -> String {
+    let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split(' ').take(3).collect::<Vec<_>>().join(" ")
+}
