--- a/crates/lentilshunt-node/src/peer/question.rs
+++ b/crates/lentilshunt-node/src/peer/question.rs
@@ -12,7 +12,7 @@
 
 use super::path;
 
-/// Sends a question and returns the resolution with the answer that came with it.
+/// Sends a question over a new connection and returns the resolution with the answer that came with it.
 ///
 /// Returns none when the node does not answer by the deadline.
 pub async fn ask(
@@ -31,7 +31,7 @@
         deadline,
         limit,
     };
-    let response = pool.exchange(exchange, request).await.ok()?;
+    let response = pool.exchange_fresh(exchange, request).await.ok()?;
     let resolution = response.headers().get(path::RESOLUTION)?.to_str().ok()?;
     let resolution: Resolution = resolution.parse().ok()?;
     Some((resolution, read_reply(response)))
