feat(drain): answer questions until the last request has ended

The peer listener stays open until the callers are served, the accepted requests have ended and another second has passed, so that a node which lost sight of an attempt finds its answer. Claims that are older than the resend horizon are swept, a part of the table at a time, at the revision that was read. Every refusal, question, claim and conflict has a counter, each seen to rise in a test.

--- a/crates/lentilshunt-core/src/claim/mod.rs
+++ b/crates/lentilshunt-core/src/claim/mod.rs
@@ -12,6 +12,7 @@
 mod judge;
 mod key;
 mod pace;
+mod sweep;
 
 use std::time::Duration;
 
@@ -21,6 +22,7 @@
 pub use key::{PREFIX, fingerprint, row_key};
 pub use lentilshunt_schema::call::Claim;
 pub use pace::Pace;
+pub use sweep::{shard, sweep};
 
 /// Time after its claim in which a repeat of a request does not run again.
 pub const RESEND_HORIZON: Duration = Duration::from_hours(1);
--- /dev/null
+++ b/crates/lentilshunt-core/src/claim/sweep.rs
@@ -0,0 +1,62 @@
+//! Deletes claims that no repeat can concern any more.
+
+use std::time::SystemTime;
+
+use lentilshunt_schema::platform::{Condition, Expectation, Row, Transaction, Write};
+
+use super::{Claim, PREFIX, SWEEP_MARGIN};
+
+/// Hexadecimal digits by which the rows of all claims are divided for sweeping.
+const SHARD_DIGITS: u32 = 3;
+
+/// Returns the start of the keys of a part of all claims.
+///
+/// The part is one of 4096, chosen by `random`.
+#[must_use]
+pub fn shard(random: u32) -> String {
+    let shard = random % 16_u32.pow(SHARD_DIGITS);
+    format!("{PREFIX}{shard:03x}")
+}
+
+/// Returns the transaction that deletes up to `limit` claims whose time is over.
+///
+/// A claim is deleted at the revision that was read, so that one which was
+/// taken over meanwhile stays. Rows that cannot be read stay. Returns none when
+/// there is nothing to delete.
+#[must_use]
+pub fn sweep(rows: &[Row], now: SystemTime, limit: usize) -> Option<Transaction> {
+    let expired: Vec<&Row> = rows
+        .iter()
+        .filter(|row| is_expired(row, now))
+        .take(limit)
+        .collect();
+    if expired.is_empty() {
+        return None;
+    }
+    let condition = |row: &&Row| Condition {
+        key: row.key.clone(),
+        expectation: Expectation::Revision(row.revision),
+    };
+    let write = |row: &&Row| Write {
+        key: row.key.clone(),
+        value: None,
+    };
+    Some(Transaction {
+        conditions: expired.iter().map(condition).collect(),
+        writes: expired.iter().map(write).collect(),
+    })
+}
+
+fn is_expired(row: &Row, now: SystemTime) -> bool {
+    let Ok(claim) = rmp_serde::from_slice::<Claim>(&row.value) else {
+        return false;
+    };
+    let since_epoch = now.duration_since(SystemTime::UNIX_EPOCH);
+    let Some(limit) = since_epoch
+        .ok()
+        .and_then(|now| now.checked_sub(SWEEP_MARGIN))
+    else {
+        return false;
+    };
+    u128::from(claim.expires_us) < limit.as_micros()
+}
--- a/crates/lentilshunt-core/tests/claim.rs
+++ b/crates/lentilshunt-core/tests/claim.rs
@@ -2,11 +2,14 @@
 
 use std::{
     collections::BTreeMap,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime},
 };
 
 use lentilshunt_core::{
-    claim::{Batch, Bid, Claim, Holder, Pace, Settlement, Step, fingerprint, judge, row_key},
+    claim::{
+        Batch, Bid, Claim, Holder, Pace, SWEEP_MARGIN, Settlement, Step, fingerprint, judge,
+        row_key, shard, sweep,
+    },
     execution::Resolution,
 };
 use lentilshunt_schema::platform::{Expectation, Outcome, Row, Transaction};
@@ -166,6 +169,39 @@
     assert_eq!(pace.next_at(), later);
 }
 
+#[test]
+fn sweep_expired_only() {
+    let expiring = |key: &str, expires: Duration| {
+        let mut claim = claim("r", "a");
+        claim.expires_us = u64::try_from(expires.as_micros()).unwrap();
+        row(key, &claim, 7)
+    };
+    let now = Duration::from_hours(1000);
+    let oldest = now.checked_sub(SWEEP_MARGIN).unwrap();
+    let old = oldest.checked_sub(Duration::from_micros(1)).unwrap();
+    let rows = [
+        expiring("a", oldest),
+        expiring("b", old),
+        Row {
+            value: vec![1],
+            ..expiring("c", old)
+        },
+        expiring("d", old),
+        expiring("e", old),
+    ];
+    let swept = sweep(&rows, SystemTime::UNIX_EPOCH + now, 2).unwrap();
+    let conditions: Vec<_> = swept
+        .conditions
+        .iter()
+        .map(|condition| (condition.key.as_str(), condition.expectation.clone()))
+        .collect();
+    let at = Expectation::Revision(7);
+    assert_eq!(conditions, [("b", at.clone()), ("d", at)]);
+    assert!(swept.writes.iter().all(|write| write.value.is_none()));
+    assert_eq!(sweep(&rows[..1], SystemTime::UNIX_EPOCH + now, 2), None);
+    assert_eq!(shard(0x1abc), "claim/abc");
+}
+
 /// A sequential table.
 #[derive(Debug, Default)]
 struct Rows {
--- a/crates/lentilshunt-node/src/executor/claims/mod.rs
+++ b/crates/lentilshunt-node/src/executor/claims/mod.rs
@@ -3,10 +3,12 @@
 mod asker;
 mod claimant;
 mod committer;
+mod sweeper;
 mod wire;
 
 pub use asker::Asker;
 pub use claimant::Claimant;
 use committer::Committer;
 pub use committer::Plan;
+pub use sweeper::Sweeper;
 pub use wire::Wire;
--- a/crates/lentilshunt-node/src/executor/local.rs
+++ b/crates/lentilshunt-node/src/executor/local.rs
@@ -65,19 +65,25 @@
         incarnation: Incarnation,
         deadline: Instant,
     ) -> Resolution<Reply> {
-        if incarnation != self.context.incarnation {
-            return Resolution::MayHaveRun;
-        }
-        self.runner.resolve(request, deadline)
+        let resolution = if incarnation == self.context.incarnation {
+            self.runner.resolve(request, deadline)
+        } else {
+            Resolution::MayHaveRun
+        };
+        count_question(&resolution);
+        resolution
     }
 
     /// Tells what became of a request that was accepted here before.
     #[must_use]
     pub fn recall(&self, request: &str, incarnation: Incarnation) -> Resolution<Reply> {
-        if incarnation != self.context.incarnation {
-            return Resolution::MayHaveRun;
-        }
-        self.runner.recall(request)
+        let resolution = if incarnation == self.context.incarnation {
+            self.runner.recall(request)
+        } else {
+            Resolution::MayHaveRun
+        };
+        count_question(&resolution);
+        resolution
     }
 
     /// Waits until no accepted request is left.
@@ -109,6 +115,7 @@
     fn execute(&self, endpoint: Arc<Endpoint>, call: Arc<Call>) -> Pending<'_, Reply> {
         Box::pin(async move {
             let reply = self.run(&endpoint, call).await;
+            count(&reply);
             Reply {
                 room: Some(self.runner.room()),
                 ..reply
@@ -140,3 +147,22 @@
         Resolution::MayHaveRun => (call::Resolution::MayHaveRun, None),
     }
 }
+
+/// Counts an attempt that did not run here, or whose outcome is not known.
+fn count(reply: &Reply) {
+    if let Some(reason) = reply.reason {
+        let verdict = reply.verdict.to_string();
+        let labels = [("reason", reason.to_string()), ("verdict", verdict)];
+        metrics::counter!("lentilshunt_executor_refusals_total", &labels).increment(1);
+    }
+}
+
+fn count_question(resolution: &Resolution<Reply>) {
+    let resolution = match resolution {
+        Resolution::Barred => "barred",
+        Resolution::Running => "running",
+        Resolution::Answered(_) => "answered",
+        Resolution::MayHaveRun => "may_have_run",
+    };
+    metrics::counter!("lentilshunt_questions_total", "resolution" => resolution).increment(1);
+}
--- a/crates/lentilshunt-node/src/executor/mod.rs
+++ b/crates/lentilshunt-node/src/executor/mod.rs
@@ -15,7 +15,7 @@
 };
 
 pub use backend::Backend;
-pub use claims::{Asker, Claimant, Plan, Wire};
+pub use claims::{Asker, Claimant, Plan, Sweeper, Wire};
 pub use local::Local;
 pub(crate) use local::split;
 pub use pooled::Pooled;
--- a/crates/lentilshunt-node/src/executor/runner.rs
+++ b/crates/lentilshunt-node/src/executor/runner.rs
@@ -148,7 +148,9 @@
         };
         let mut bid = claimant.bid(call, key);
         loop {
-            match claimant.make(bid.clone(), call).await {
+            let settlement = claimant.make(bid.clone(), call).await;
+            count_settlement(settlement.as_ref());
+            match settlement {
                 Some(Settlement::Won) => return Ok(()),
                 Some(Settlement::Gone) => bid.replaces = None,
                 Some(Settlement::Taken(holder)) => {
@@ -179,7 +181,9 @@
             } else {
                 claimant.asker().ask(holder.claim.clone()).await
             };
-            match judge(&bid, holder, resolution) {
+            let step = judge(&bid, holder, resolution);
+            count_step(&step);
+            match step {
                 Step::TakeOver(bid) => return Ok(bid),
                 Step::Answer(reply) => return Err(reply),
                 Step::Refuse => return Err(Reply::refused(Reason::Duplicate)),
@@ -249,3 +253,25 @@
         }
     }
 }
+
+fn count_settlement(settlement: Option<&Settlement>) {
+    let outcome = match settlement {
+        Some(Settlement::Won) => "won",
+        Some(Settlement::Taken(_)) => "taken",
+        Some(Settlement::Gone) => "gone",
+        Some(Settlement::Unreadable) => "unreadable",
+        None => "unavailable",
+    };
+    metrics::counter!("lentilshunt_claims_total", "outcome" => outcome).increment(1);
+}
+
+fn count_step(step: &Step<Reply>) {
+    let step = match step {
+        Step::TakeOver(_) => "take_over",
+        Step::Answer(_) => "answer",
+        Step::Wait => "wait",
+        Step::Refuse => "refuse",
+        Step::MayHaveRun => "may_have_run",
+    };
+    metrics::counter!("lentilshunt_claim_conflicts_total", "step" => step).increment(1);
+}
--- a/crates/lentilshunt-node/src/shell/mod.rs
+++ b/crates/lentilshunt-node/src/shell/mod.rs
@@ -30,12 +30,14 @@
     context::Context,
     control::{Control, Input},
     entry::{Dispatcher, Entry, Guard, Remote},
-    executor::{Claimant, Local, Plan, Wire},
+    executor::{Claimant, Local, Plan, Sweeper, Wire},
     peer::Peer,
 };
 
 /// Time between publishing that the node stops and closing its listeners.
 const NOTICE: Duration = Duration::from_millis(1500);
+/// Time for which questions are answered after the last request has ended.
+const LINGER: Duration = Duration::from_secs(1);
 /// Events that wait for the control task.
 const QUEUE_EVENTS: usize = 1024;
 
@@ -54,6 +56,7 @@
     let (events, received) = mpsc::channel(QUEUE_EVENTS);
     let claimant = claimant(&context)?;
     let local = Arc::new(Local::new(Arc::clone(&context), Some(claimant)));
+    let running = Arc::clone(&local);
     let remote = Arc::new(Remote::new(Arc::clone(&context)));
     let control = control(&context, events.clone())?;
     let peer = Peer::new(Arc::clone(&context), Arc::clone(&local), events.clone());
@@ -65,12 +68,11 @@
     let admin = Admin::new(Arc::clone(&context), metrics);
 
     let closed = CancellationToken::new();
+    let left = CancellationToken::new();
     let listen = &context.settings.listen;
-    let servers = [
-        serve(&listen.callers, Arc::new(entry), &closed).await?,
-        serve(&listen.peers, Arc::new(peer), &closed).await?,
-    ];
-    let admin = serve(&listen.admin, Arc::new(admin), &closed).await?;
+    let callers = serve(&listen.callers, Arc::new(entry), &closed).await?;
+    let peers = serve(&listen.peers, Arc::new(peer), &left).await?;
+    let admin = serve(&listen.admin, Arc::new(admin), &left).await?;
     let controlling = tokio::spawn(control.run(received));
     info!(context.log, "the node runs"; "instance" => &context.place.instance);
 
@@ -82,9 +84,12 @@
     tokio::time::sleep(NOTICE).await;
     closed.cancel();
     let drained = async {
-        for server in servers {
-            drop(server.await);
-        }
+        drop(callers.await);
+        running.drained().await;
+        // Nodes that lost sight of an attempt still find its answer.
+        tokio::time::sleep(LINGER).await;
+        left.cancel();
+        drop(peers.await);
     };
     let drain = Duration::from_millis(context.settings.calls.drain_ms);
     if tokio::time::timeout(drain, drained).await.is_err() {
@@ -128,14 +133,16 @@
     let source = own_ip(settings)?;
     let timeout = Duration::from_millis(settings.platform.timeout_ms.get());
     let pool = Pool::from_source(source);
-    let client =
-        platform::Client::new(address(&settings.platform.address)?, timeout).with_pool(pool);
+    let platform = address(&settings.platform.address)?;
+    let client = Arc::new(platform::Client::new(platform, timeout).with_pool(pool));
+    let sweeper = Sweeper::new(Arc::clone(&client) as Arc<_>, context.incarnation);
+    tokio::spawn(sweeper.run());
     let limit = usize::try_from(settings.calls.body_bytes).unwrap_or(usize::MAX);
     Ok(Claimant::start(
         context.place.instance.clone(),
         advertised(settings).to_owned(),
         context.incarnation,
-        Arc::new(client),
+        client,
         Arc::new(Wire::new(source, limit)),
         Plan::default(),
     ))
--- a/crates/lentilshunt-node/tests/executor/main.rs
+++ b/crates/lentilshunt-node/tests/executor/main.rs
@@ -5,4 +5,5 @@
 mod fixture;
 mod history;
 mod local;
+mod metrics;
 mod pooled;
