--- a/crates/lentilshunt-node/tests/executor/metrics.rs
+++ b/crates/lentilshunt-node/tests/executor/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    sync::Arc,
     time::{Duration, SystemTime},
 };
 
@@ -9,6 +10,7 @@
     claim::{RESEND_HORIZON, SWEEP_MARGIN},
     membership::Phase,
 };
+use lentilshunt_net::platform::Table;
 use lentilshunt_node::executor::Sweeper;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::time::sleep;
@@ -120,7 +122,7 @@
     *fleet.platform.always.lock().unwrap() = Some(Fault::Refuse);
     let _unavailable = b.execute(call("z", Some("n"))).await;
     *fleet.platform.always.lock().unwrap() = None;
-    let sweeper = Sweeper::new(fleet.platform.clone(), 1);
+    let sweeper = Sweeper::new(Arc::clone(&fleet.platform) as Arc<dyn Table>, 1);
     let old = SystemTime::now() + RESEND_HORIZON + SWEEP_MARGIN + Duration::from_secs(1);
     sweeper.sweep("claim/".to_owned(), SystemTime::now()).await;
     assert_eq!(fleet.platform.rows.lock().unwrap().scan("claim/").len(), 3);
