--- a/crates/lentilshunt-net/src/http/mod.rs
+++ b/crates/lentilshunt-net/src/http/mod.rs
@@ -6,9 +6,12 @@
 mod lane;
 mod pool;
 mod server;
+mod silence;
+mod stop;
 
 pub use error::Error;
 pub use exchange::Exchange;
 pub use handler::{Handler, empty, whole};
 pub use pool::Pool;
 pub use server::Server;
+pub use stop::Stop;
--- a/crates/lentilshunt-node/src/peer/handler.rs
+++ b/crates/lentilshunt-node/src/peer/handler.rs
@@ -1,28 +1,41 @@
 //! Answers other nodes and the own upstream.
 
-use std::{net::SocketAddr, sync::Arc, time::Instant};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Instant, SystemTime},
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+};
 use lentilshunt_core::{
     dissemination::Event,
+    id::Incarnation,
     membership::{Endpoint, Phase},
     verdict::Reason,
 };
 use lentilshunt_net::{
     Pending,
-    call::{Executor, Reply, read_call, write_reply},
+    call::{Attempt, Executor, Reply, deadline, read_attempt, write_reply},
     http::{Handler, empty},
 };
-use lentilshunt_schema::{call::Resolve, peer::Announcement};
+use lentilshunt_schema::{
+    call::{Resolution, Resolve},
+    peer::Announcement,
+};
 use tokio::sync::mpsc;
 
-use super::path;
+use super::{control::control, path};
 use crate::{
     admin::{self, OPERATE},
     context::Context,
-    executor::Local,
+    control::Input,
+    executor::{Local, split},
 };
 
 /// Bytes that the head of a call may add to its body.
@@ -33,13 +46,13 @@
 pub struct Peer {
     context: Arc<Context>,
     local: Arc<Local>,
-    events: mpsc::Sender<Event>,
+    events: mpsc::Sender<Input>,
 }
 
 impl Peer {
     /// Creates the handler.
     #[must_use]
-    pub fn new(context: Arc<Context>, local: Arc<Local>, events: mpsc::Sender<Event>) -> Self {
+    pub fn new(context: Arc<Context>, local: Arc<Local>, events: mpsc::Sender<Input>) -> Self {
         Self {
             context,
             local,
@@ -59,7 +72,8 @@
         let request = Request::from_parts(parts, body.to_bytes());
         match request.uri().path() {
             path::ANNOUNCE => self.announce(request.body()).await,
-            path::RESOLVE => self.resolve(request.body()).await,
+            path::CONTROL => control(&self.events, request.body()).await,
+            path::RESOLVE => self.resolve(request.body()),
             called if called.starts_with(path::CALL) => self.call(&request).await,
             other => match other.strip_prefix(OPERATE) {
                 Some(question) => admin::answer(&self.context, question),
@@ -76,25 +90,52 @@
             return empty(StatusCode::FORBIDDEN);
         }
         self.local.announce(&announcement);
-        drop(self.events.send(Event::Announced(announcement)).await);
+        drop(
+            self.events
+                .send(Event::Announced(announcement).into())
+                .await,
+        );
         empty(StatusCode::OK)
     }
 
     async fn call(&self, request: &Request<Bytes>) -> Response<Full<Bytes>> {
-        let reply = match read_call(path::CALL, request, Instant::now()) {
-            Some(call) => self.local.execute(self.own(), Arc::new(call)).await,
+        let reply = match read_attempt(path::CALL, request, Instant::now()) {
+            Some(attempt) => self.execute(attempt).await,
             None => Reply::refused(Reason::BadRequest),
         };
         write_reply(reply).map(Full::new)
     }
 
-    async fn resolve(&self, body: &[u8]) -> Response<Full<Bytes>> {
+    async fn execute(&self, attempt: Attempt) -> Reply {
+        if attempt.is_late(SystemTime::now()) {
+            return Reply::refused(Reason::Deadline);
+        }
+        let endpoint = self.endpoint(attempt.incarnation);
+        self.local.execute(endpoint, Arc::new(attempt.call)).await
+    }
+
+    fn settle(&self, question: &Resolve) -> Option<(Resolution, Option<Reply>)> {
+        let Resolve {
+            request,
+            incarnation,
+            remaining_ms,
+            bar,
+        } = question;
+        let resolution = if *bar {
+            let deadline = deadline(*remaining_ms, Instant::now())?;
+            self.local.resolve(request, *incarnation, deadline)
+        } else {
+            self.local.recall(request, *incarnation)
+        };
+        Some(split(resolution))
+    }
+
+    fn resolve(&self, body: &[u8]) -> Response<Full<Bytes>> {
         let Ok(resolve) = rmp_serde::from_slice::<Resolve>(body) else {
             return empty(StatusCode::BAD_REQUEST);
         };
-        let resolved = self.local.resolve(self.own(), resolve.request).await;
-        let Some((resolution, reply)) = resolved else {
-            return empty(StatusCode::NOT_FOUND);
+        let Some((resolution, reply)) = self.settle(&resolve) else {
+            return empty(StatusCode::BAD_REQUEST);
         };
         let mut response = match reply {
             Some(reply) => write_reply(reply).map(Full::new),
@@ -107,8 +148,8 @@
         response
     }
 
-    /// Returns the own endpoint, as the executor's border wants it.
-    fn own(&self) -> Arc<Endpoint> {
+    /// Returns an incarnation of the own endpoint, as the executor's border wants it.
+    fn endpoint(&self, incarnation: Incarnation) -> Arc<Endpoint> {
         let settings = &self.context.settings;
         let address: SocketAddr = settings
             .listen
@@ -121,7 +162,7 @@
             address,
             region: place.region.clone(),
             domain: place.domain.clone(),
-            incarnation: self.context.incarnation,
+            incarnation,
             service: String::new(),
             phase: Phase::Ready,
             slots: 0,
@@ -132,6 +173,14 @@
 
 impl Handler for Peer {
     fn handle(&self, request: Request<Incoming>) -> Pending<'_, Response<Full<Bytes>>> {
-        Box::pin(self.answer(request))
+        Box::pin(async move {
+            let mut response = self.answer(request).await;
+            if self.context.stop.is_cancelled() {
+                // The other end is not to reuse a connection that will be closed.
+                let headers = response.headers_mut();
+                headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            response
+        })
     }
 }
