feat(schema): check how settings fit together and write their page

Settings passed the check with two listeners on one address, a node among its own seeds, or an address that no other node can reach; names of instances were any text, and one advertised address could be a list. Each is refused now with file, section, key, value and what would be right.

--- a/crates/lentilshunt-generate/src/lib.rs
+++ b/crates/lentilshunt-generate/src/lib.rs
@@ -3,6 +3,8 @@
 //! This crate depends on no other of the workspace, so that it builds while the
 //! committed types do not.
 
+mod page;
+
 use std::{
     fs,
     path::{Path, PathBuf},
@@ -12,6 +14,7 @@
 use typify::{TypeSpace, TypeSpaceSettings};
 
 const SCHEMA_FOLDER: &str = "crates/lentilshunt-schema/schema";
+const SETTINGS_PAGE: &str = "docs/operate/settings.md";
 const OUTPUT_FOLDER: &str = "crates/lentilshunt-schema/src/generated";
 
 /// Writes the generated files, or with `check` only compares them.
@@ -28,15 +31,22 @@
             .whatever_context("schema file without a name")?
             .to_owned();
         let output = root.join(OUTPUT_FOLDER).join(format!("{name}.rs"));
-        let code = translate(&schema)?;
-        if check {
-            compare(&output, &code)?;
-        } else {
-            fs::write(&output, code)
-                .with_whatever_context(|_| format!("cannot write {}", output.display()))?;
-        }
+        put(&output, &translate(&schema)?, check)?;
     }
-    Ok(())
+    let settings = root.join(SCHEMA_FOLDER).join("settings.json");
+    put(
+        &root.join(SETTINGS_PAGE),
+        &page::settings(&settings)?,
+        check,
+    )
+}
+
+/// Writes a file, or with `check` only compares it.
+fn put(output: &Path, text: &str, check: bool) -> Result<(), Whatever> {
+    if check {
+        return compare(output, text);
+    }
+    fs::write(output, text).with_whatever_context(|_| format!("cannot write {}", output.display()))
 }
 
 fn schemas(root: &Path) -> Result<Vec<PathBuf>, Whatever> {
--- a/crates/lentilshunt-schema/src/ini/check.rs
+++ b/crates/lentilshunt-schema/src/ini/check.rs
@@ -1,12 +1,13 @@
 //! Checks settings against their schema.
 
-use std::net::SocketAddr;
-
 use ini::{Ini, Properties};
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
 
-use super::{Problem, Problems};
+use super::{Problem, Problems, relation::relations, value::parse_value};
+
+/// Longest settings file, in bytes.
+const MAX_FILE_BYTES: usize = 1024 * 1024;
 
 const SCHEMA: &str = include_str!("../../schema/settings.json");
 
@@ -41,6 +42,9 @@
         problems: Vec::new(),
     };
     let value = check.program(root, bytes);
+    if check.problems.is_empty() {
+        check.problems = relations(file, &value);
+    }
     if !check.problems.is_empty() {
         return Err(Problems(check.problems));
     }
@@ -75,6 +79,11 @@
     }
 
     fn parse(&mut self, bytes: &[u8]) -> Option<Ini> {
+        if bytes.len() > MAX_FILE_BYTES {
+            let message = format!("the file is longer than {MAX_FILE_BYTES} bytes");
+            self.problems.push(Problem::new(self.file, message));
+            return None;
+        }
         let Ok(text) = std::str::from_utf8(bytes) else {
             let problem = Problem::new(self.file, "the file is not UTF-8 text");
             self.problems.push(problem);
@@ -186,60 +195,6 @@
     }
 }
 
-fn parse_value(schema: &Value, text: &str) -> Result<Value, String> {
-    if let Some(choices) = schema.get("enum") {
-        let known: Vec<&str> = names(choices).collect();
-        if known.contains(&text) {
-            return Ok(Value::from(text));
-        }
-        return Err(format!("must be one of {}", known.join(", ")));
-    }
-    match schema["type"].as_str() {
-        Some("integer") => parse_integer(schema, text),
-        Some("boolean") => match text {
-            "true" => Ok(Value::from(true)),
-            "false" => Ok(Value::from(false)),
-            _ => Err("must be true or false".to_owned()),
-        },
-        _ => parse_text(schema, text),
-    }
-}
-
-fn parse_integer(schema: &Value, text: &str) -> Result<Value, String> {
-    let minimum = schema["minimum"].as_u64().unwrap_or(0);
-    let format_maximum = match schema["format"].as_str() {
-        Some("uint32") => u64::from(u32::MAX),
-        _ => u64::MAX,
-    };
-    let maximum = schema["maximum"].as_u64().unwrap_or(format_maximum);
-    match text.parse::<u64>() {
-        Ok(number) if (minimum..=maximum).contains(&number) => Ok(Value::from(number)),
-        _ => Err(format!(
-            "must be a whole number from {minimum} to {maximum}"
-        )),
-    }
-}
-
-fn parse_text(schema: &Value, text: &str) -> Result<Value, String> {
-    let addresses: Vec<&str> = match schema["format"].as_str() {
-        Some("ip-port") => vec![text],
-        Some("ip-port-list") if text.trim().is_empty() => Vec::new(),
-        Some("ip-port-list") => text.split(',').map(str::trim).collect(),
-        _ if text.is_empty() && schema.get("default").is_none() => {
-            return Err("must not be empty".to_owned());
-        }
-        _ => Vec::new(),
-    };
-    for address in addresses {
-        if address.parse::<SocketAddr>().is_err() {
-            return Err(format!(
-                "{address:?} must be an IP address and port, such as 127.0.0.1:7000"
-            ));
-        }
-    }
-    Ok(Value::from(text))
-}
-
 fn known(definition: &Value) -> String {
     let names: Vec<&str> = entries(&definition["properties"])
         .map(|(name, _)| name.as_str())
@@ -247,7 +202,8 @@
     names.join(", ")
 }
 
-fn names(list: &Value) -> impl Iterator<Item = &str> {
+/// Returns the texts of a list.
+pub(super) fn names(list: &Value) -> impl Iterator<Item = &str> {
     list.as_array()
         .into_iter()
         .flatten()
--- a/crates/lentilshunt-schema/src/ini/mod.rs
+++ b/crates/lentilshunt-schema/src/ini/mod.rs
@@ -2,6 +2,8 @@
 
 mod check;
 mod problem;
+mod relation;
+mod value;
 
 pub use check::read;
 pub use problem::{Problem, Problems};
