feat(cli): find nodes by the rendezvous rows and by two nodes of each domain

status looked for one row a node, which only the polling strategy writes. It reads the rows of each failure domain as well, and asks two answering nodes of each domain for the members that they know.

--- a/crates/lentilshunt-cli/src/command/observe.rs
+++ b/crates/lentilshunt-cli/src/command/observe.rs
@@ -2,19 +2,15 @@
 
 use std::{net::SocketAddr, process::ExitCode};
 
-use lentilshunt_net::platform::Table;
-use lentilshunt_schema::{operate::Member, peer::Record, settings};
+use lentilshunt_schema::{operate::Member, settings};
 use serde_json::json;
 
 use super::{Access, Failure, LAGGING, access::client, output::print};
 use crate::{
-    fleet::{Fleet, Node, Report},
+    fleet::{self, Fleet, Report},
     version::Reader,
 };
 
-/// Start of the keys of member rows.
-const MEMBER_PREFIX: &str = "member/";
-
 /// Shows which version every node has in force.
 pub(super) async fn status(
     access: &Access,
@@ -25,16 +21,8 @@
     seeds.extend(configured(&settings));
     let client = client(&settings);
     let head = Reader::new(&client, &client).head().await.ok();
-    let rows = client.scan(MEMBER_PREFIX.to_owned()).await;
-    let rows = rows.unwrap_or_default();
-    let records = rows
-        .iter()
-        .filter_map(|row| rmp_serde::from_slice::<Record>(&row.value).ok());
-    let known: Vec<Node> = records
-        .filter_map(|record| Node::from_record(&record))
-        .collect();
-    let fleet = Fleet::default();
-    let nodes = fleet.survey(known, seeds).await;
+    let known = fleet::registered(&client).await;
+    let nodes = Fleet::default().survey(known, seeds).await;
     let report = Report::new(head, nodes);
     if json {
         print(&json!(report))?;
--- a/crates/lentilshunt-cli/src/fleet/mod.rs
+++ b/crates/lentilshunt-cli/src/fleet/mod.rs
@@ -2,10 +2,12 @@
 
 mod error;
 mod node;
+mod registered;
 mod report;
 mod survey;
 
 pub use error::Error;
 pub use node::Node;
+pub use registered::registered;
 pub use report::{Domain, Report};
 pub use survey::Fleet;
--- a/crates/lentilshunt-cli/src/fleet/survey.rs
+++ b/crates/lentilshunt-cli/src/fleet/survey.rs
@@ -26,8 +26,8 @@
 const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
 /// Nodes that are asked at a time.
 const CONCURRENCY: usize = 32;
-/// Nodes that are asked for the members that they know.
-const MEMBER_SOURCES: usize = 3;
+/// Nodes of each failure domain that are asked for the members that they know.
+const MEMBER_SOURCES: usize = 2;
 /// Start of the paths at which a node answers operators.
 const PREFIX: &str = "/.lentilshunt/operate";
 
@@ -43,12 +43,7 @@
         let seeds = seeds.into_iter().map(Node::at);
         let first = self.ask_all(known.into_iter().chain(seeds).collect()).await;
         let mut nodes = by_instance(first);
-        let sources: Vec<SocketAddr> = nodes
-            .values()
-            .filter(|node| node.version.is_some())
-            .map(|node| node.address)
-            .take(MEMBER_SOURCES)
-            .collect();
+        let sources = sources(nodes.values());
         let mut found = Vec::new();
         for source in sources {
             let members = self.ask::<Members>(source, "members").await;
@@ -103,6 +98,20 @@
     }
 }
 
+/// Chooses the nodes that are asked for the members that they know.
+fn sources<'a>(nodes: impl Iterator<Item = &'a Node>) -> Vec<SocketAddr> {
+    let mut chosen: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut sources = Vec::new();
+    for node in nodes.filter(|node| node.version.is_some()) {
+        let count = chosen.entry(&node.domain).or_default();
+        if *count < MEMBER_SOURCES {
+            *count += 1;
+            sources.push(node.address);
+        }
+    }
+    sources
+}
+
 /// Keeps one node for each instance, rather one that answered.
 fn by_instance(nodes: Vec<Node>) -> BTreeMap<String, Node> {
     let mut kept: BTreeMap<String, Node> = BTreeMap::new();
