perf(config): read the head before storing content

An operator whose base is out of date stored every section before it learnt so, and writes are the platform's scarce good. The head is read first and again after the content is stored.

The test with the platform down now allows an unsettled end only when the transaction was sent; before it allowed it for every lost request.

--- a/crates/lentilshunt-core/src/config/acceptance/machine.rs
+++ b/crates/lentilshunt-core/src/config/acceptance/machine.rs
@@ -31,7 +31,7 @@
 impl Machine {
     /// Creates an acceptance and returns it with its first action.
     ///
-    /// `objects` are the contents to be stored first. After `expires_at` the
+    /// `objects` are the contents to be stored before the transaction. After `expires_at` the
     /// acceptance sends no transaction and gives up at the first failure. Its
     /// waits are jittered by `random`.
     #[must_use]
@@ -104,7 +104,7 @@
 }
 
 #[state_machine(
-    initial = "State::storing()",
+    initial = "State::reading()",
     state(derive(Debug)),
     superstate(derive(Debug))
 )]
@@ -122,7 +122,6 @@
                 self.put_next(context);
                 Handled
             }
-            Event::Timer if self.objects.is_empty() => Transition(State::reading()),
             Event::Timer => {
                 self.put_next(context);
                 Handled
@@ -254,6 +253,9 @@
     fn judge(&mut self, context: &mut Moment, row: Option<&Row>) -> Outcome<State> {
         let ending = match self.proposal.step(row) {
             Ok(Step::Transact(_)) if context.now >= self.expires_at => self.give_up(),
+            Ok(Step::Transact(_)) if !self.objects.is_empty() => {
+                return Transition(State::storing());
+            }
             Ok(Step::Transact(transaction)) => {
                 return Transition(State::transacting(transaction));
             }
--- a/crates/lentilshunt-core/src/config/acceptance/mod.rs
+++ b/crates/lentilshunt-core/src/config/acceptance/mod.rs
@@ -1,14 +1,14 @@
 //! Accepts a version by one transaction, whatever becomes of the messages.
 //!
 //! The platform may lose a request or its reply, and other operators may
-//! accept versions at any time. A [`Machine`] stores the content, reads the
-//! head, sends the transaction, and after a lost reply reads the head and the
+//! accept versions at any time. A [`Machine`] reads the head, stores the
+//! content, sends the transaction, and after a lost reply reads the head and the
 //! history again until it knows whether the [`Proposal`] was accepted.
 //!
 //! | state | asks for | goes on to |
 //! |---|---|---|
+//! | reading | the head row | storing, then transacting, if the head is the base; settling if it is newer; else ended |
 //! | storing | a put of each object | reading |
-//! | reading | the head row | transacting if the head is the base, settling if it is newer, else ended |
 //! | transacting | the transaction | ended if committed, reading if not, pausing if not known |
 //! | pausing | a wait | reading |
 //! | settling | the history row after the base | ended: own operation or another's |
--- a/crates/lentilshunt-core/tests/config_acceptance.rs
+++ b/crates/lentilshunt-core/tests/config_acceptance.rs
@@ -10,7 +10,7 @@
 
 use common::platform::{Fault, MAX_REQUESTS, Operator, Platform};
 
-/// Steps at which a fault is tried; a run without a fault has four.
+/// Steps at which a fault is tried; a run without a fault has five.
 const STEPS: usize = 8;
 const TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -68,7 +68,8 @@
                 };
                 let (_, operator) = run(1, 1, fault);
                 let ended = operator.ending();
-                let sent = start >= 3 || down == Fault::LostRequest;
+                // The fifth request is the first transaction.
+                let sent = start >= 4 || (start, last) == (3, Fault::None);
                 let known = !matches!(ended, Some(Ending::Unsettled)) || sent;
                 assert!(ended.is_some() && known, "{last:?} at {start}: {ended:?}");
             }
