--- a/crates/lentilshunt-load/src/fleet/process.rs
+++ b/crates/lentilshunt-load/src/fleet/process.rs
@@ -40,6 +40,12 @@
         Ok(Self { child })
     }
 
+    /// Returns the id of the process.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal; a process that has ended is left alone.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/lentilshunt-load/src/scene/mod.rs
@@ -0,0 +1,9 @@
+//! A fleet that is started and ready, with its operator.
+
+mod error;
+mod ready;
+mod usage;
+
+pub use error::Error;
+pub use ready::Scene;
+pub use usage::Usage;
--- /dev/null
+++ b/crates/lentilshunt-load/src/scene/ready.rs
@@ -0,0 +1,90 @@
+//! Starts a fleet and waits until it is ready.
+
+use std::{
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use lentilshunt_core::config::Snapshot;
+use lentilshunt_net::history::Writer;
+use snafu::{ResultExt, ensure};
+
+use super::{
+    Error,
+    error::{AcceptSnafu, LateSnafu, ReadySnafu, StartSnafu, StopSnafu},
+};
+use crate::{
+    fleet::{Fleet, Layout, Remote},
+    operator::Operator,
+};
+
+/// Longest wait until all nodes are ready.
+const START_TIMEOUT: Duration = Duration::from_mins(1);
+/// Pause between two attempts to accept the first version.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest wait for a graceful stop.
+const STOP_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A running fleet in which every node routes to every server.
+#[derive(Debug)]
+pub struct Scene {
+    /// The processes.
+    pub fleet: Fleet,
+    /// Accepts versions.
+    pub operator: Operator,
+    /// Asks the nodes.
+    pub remote: Remote,
+}
+
+impl Scene {
+    /// Starts the processes of a layout and accepts `snapshot` as the first version.
+    ///
+    /// `programs` holds the built programs; `folder` is emptied first.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a process does not start, or when not every node
+    /// routes to every server in time.
+    pub async fn start(
+        layout: Layout,
+        snapshot: &Snapshot,
+        programs: &Path,
+        folder: &Path,
+        history: Writer,
+    ) -> Result<Self, Error> {
+        let deadline = Instant::now() + START_TIMEOUT;
+        let fleet = Fleet::start(layout, programs, folder).context(StartSnafu)?;
+        let operator = Operator::new(fleet.layout.platform(), history);
+        loop {
+            let accepted = operator.accept(snapshot, 0, "scene".to_owned()).await;
+            match accepted {
+                Ok(_head) => break,
+                Err(error) if Instant::now() >= deadline => {
+                    return Err(error).context(AcceptSnafu);
+                }
+                Err(_platform_starts) => tokio::time::sleep(POLL_INTERVAL).await,
+            }
+        }
+        let remote = Remote::default();
+        let waiting = remote.wait_ready(&fleet.layout, 1, deadline).await;
+        let nodes: Vec<String> = waiting.into_iter().collect();
+        ensure!(nodes.is_empty(), ReadySnafu { nodes });
+        Ok(Self {
+            fleet,
+            operator,
+            remote,
+        })
+    }
+
+    /// Stops every node and upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when not every process stops in time.
+    pub fn stop(mut self) -> Result<(), Error> {
+        let deadline = Instant::now() + STOP_TIMEOUT;
+        let stopped = self.fleet.stop(deadline).context(StopSnafu)?;
+        ensure!(stopped, LateSnafu);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-load/src/scene/usage.rs
@@ -0,0 +1,42 @@
+//! Processor time and memory of a process.
+
+use std::time::Duration;
+
+use procfs::process::Process;
+use snafu::ResultExt;
+
+use super::{Error, error::UsageSnafu};
+
+/// Milliseconds in a second.
+const MILLIS: u64 = 1000;
+
+/// Processor time since its start and resident memory of a process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Usage {
+    /// Processor time in user and system mode.
+    pub processor: Duration,
+    /// Resident memory, in bytes.
+    pub memory: u64,
+}
+
+impl Usage {
+    /// Reads the use of a process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process has ended or cannot be read.
+    pub fn of(id: u32) -> Result<Self, Error> {
+        read(id).context(UsageSnafu { id })
+    }
+}
+
+fn read(id: u32) -> Result<Usage, procfs::ProcError> {
+    let id = i32::try_from(id).map_err(|_too_large| procfs::ProcError::NotFound(None))?;
+    let stat = Process::new(id)?.stat()?;
+    let ticks = stat.utime + stat.stime;
+    let per_second = procfs::ticks_per_second();
+    Ok(Usage {
+        processor: Duration::from_millis(ticks * MILLIS / per_second),
+        memory: stat.rss * procfs::page_size(),
+    })
+}
--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -2,6 +2,7 @@
 
 mod dissemination;
 mod path;
+mod process;
 
 use std::path::Path;
 
@@ -17,6 +18,9 @@
     /// Measures latency and goodput of calls
     #[bpaf(command)]
     Path(#[bpaf(external(path::arguments))] path::Arguments),
+    /// Measures what control costs each node process
+    #[bpaf(command)]
+    Process(#[bpaf(external(process::arguments))] process::Arguments),
 }
 
 /// Runs a measurement.
@@ -28,5 +32,6 @@
     match matter {
         Matter::Dissemination(arguments) => dissemination::run(root, arguments),
         Matter::Path(arguments) => path::run(root, arguments),
+        Matter::Process(arguments) => process::run(root, arguments),
     }
 }
