fix(http): answer requests that meet the stop on an idle connection

Connections that the system had accepted before the stop are served.

Ruled out: closing only the write half, since the answer needs it.

--- a/crates/lentilshunt-net/src/http/lane.rs
+++ b/crates/lentilshunt-net/src/http/lane.rs
@@ -14,7 +14,9 @@
 use hyper::client::conn::http1::SendRequest;
 
 /// Time for which an idle connection is kept.
-const IDLE_TIME: Duration = Duration::from_secs(10);
+///
+/// Servers keep it for longer, also when they stop.
+const IDLE_TIME: Duration = Duration::from_secs(3);
 /// Idle connections that are used first.
 const HOT_CONNECTIONS: usize = 8;
 /// Idle connections that are kept besides.
--- /dev/null
+++ b/crates/lentilshunt-net/tests/http_server.rs
@@ -0,0 +1,138 @@
+//! The graceful stop of a server.
+
+use std::{net::Ipv4Addr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use lentilshunt_net::{
+    Pending,
+    http::{Handler, Server, whole},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    task::JoinHandle,
+};
+use tokio_util::sync::CancellationToken;
+
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+
+/// Answers after a time.
+#[derive(Debug)]
+struct Slow(Duration);
+
+impl Handler for Slow {
+    fn handle(&self, _request: Request<Incoming>) -> Pending<'_, Response<Full<Bytes>>> {
+        Box::pin(async move {
+            tokio::time::sleep(self.0).await;
+            whole(StatusCode::OK, "whole")
+        })
+    }
+}
+
+struct Fixture {
+    notice: CancellationToken,
+    stop: CancellationToken,
+    running: JoinHandle<()>,
+    client: TcpStream,
+}
+
+impl Fixture {
+    /// Starts a server with a connected client.
+    async fn new(time: Duration) -> Self {
+        let notice = CancellationToken::new();
+        let stop = CancellationToken::new();
+        let address = (Ipv4Addr::new(127, 50, 0, 2), 0).into();
+        let server = Server::bind(address, Arc::new(Slow(time)))
+            .await
+            .expect("a free port")
+            .with_notice(notice.clone());
+        let address = server.address().expect("an address");
+        Self {
+            client: TcpStream::connect(address).await.expect("a server"),
+            running: tokio::spawn(server.run(stop.clone())),
+            notice,
+            stop,
+        }
+    }
+
+    /// Returns whether the answer to a request closes the connection.
+    async fn call(&mut self) -> bool {
+        self.client.write_all(REQUEST).await.expect("a server");
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"\r\n\r\nwhole") {
+            let read = self.client.read_buf(&mut answer).await.expect("an answer");
+            assert_ne!(
+                read,
+                0,
+                "cut off after {}",
+                String::from_utf8_lossy(&answer)
+            );
+        }
+        let head = String::from_utf8(answer).expect("text");
+        head.contains("connection: close")
+    }
+
+    /// Waits until the server has closed the connection.
+    async fn closed(&mut self) {
+        let mut rest = Vec::new();
+        let read = self.client.read_to_end(&mut rest).await;
+        assert_eq!((read.expect("no error"), rest), (0, Vec::new()));
+    }
+}
+
+#[tokio::test]
+async fn run_notice() {
+    let mut fixture = Fixture::new(Duration::ZERO).await;
+    assert!(!fixture.call().await);
+    assert!(!fixture.call().await);
+    fixture.notice.cancel();
+    assert!(fixture.call().await);
+    fixture.closed().await;
+}
+
+/// A request that was sent on an idle connection just after the stop is answered.
+#[tokio::test]
+async fn run_stopped_idle_connection() {
+    let mut fixture = Fixture::new(Duration::ZERO).await;
+    assert!(!fixture.call().await);
+    fixture.notice.cancel();
+    fixture.stop.cancel();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert!(fixture.call().await);
+    fixture.closed().await;
+    fixture.running.await.expect("no panic");
+}
+
+#[tokio::test(start_paused = true)]
+async fn run_stopped_unused_connection() {
+    let mut fixture = Fixture::new(Duration::ZERO).await;
+    fixture.notice.cancel();
+    fixture.stop.cancel();
+    fixture.closed().await;
+    fixture.running.await.expect("no panic");
+}
+
+#[tokio::test]
+async fn run_stopped_in_flight() {
+    let mut fixture = Fixture::new(Duration::from_millis(200)).await;
+    fixture.client.write_all(REQUEST).await.expect("a server");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    fixture.notice.cancel();
+    fixture.stop.cancel();
+    let mut answer = Vec::new();
+    let read = fixture.client.read_to_end(&mut answer).await;
+    read.expect("an answer");
+    assert!(answer.ends_with(b"\r\n\r\nwhole"));
+    fixture.running.await.expect("no panic");
+}
+
+/// A connection that the system had accepted before the stop is served.
+#[tokio::test]
+async fn run_stopped_before_accept() {
+    let mut fixture = Fixture::new(Duration::ZERO).await;
+    fixture.notice.cancel();
+    fixture.stop.cancel();
+    assert!(fixture.call().await);
+}
--- a/crates/lentilshunt-node/src/shell/mod.rs
+++ b/crates/lentilshunt-node/src/shell/mod.rs
@@ -67,10 +67,10 @@
     let closed = CancellationToken::new();
     let listen = &context.settings.listen;
     let servers = [
-        serve(&listen.callers, Arc::new(entry), &closed).await?,
-        serve(&listen.peers, Arc::new(peer), &closed).await?,
+        serve(&listen.callers, Arc::new(entry), &context.stop, &closed).await?,
+        serve(&listen.peers, Arc::new(peer), &context.stop, &closed).await?,
     ];
-    let admin = serve(&listen.admin, Arc::new(admin), &closed).await?;
+    let admin = serve(&listen.admin, Arc::new(admin), &context.stop, &closed).await?;
     let controlling = tokio::spawn(control.run(received));
     info!(context.log, "the node runs"; "instance" => &context.place.instance);
 
@@ -186,9 +186,11 @@
 async fn serve(
     text: &str,
     handler: Arc<dyn Handler>,
+    notice: &CancellationToken,
     closed: &CancellationToken,
 ) -> io::Result<JoinHandle<()>> {
     let server = Server::bind(address(text)?, handler).await?;
+    let server = server.with_notice(notice.clone());
     Ok(tokio::spawn(server.run(closed.clone())))
 }
 
