--- a/crates/lentilshunt-node/tests/entry/fixture.rs
+++ b/crates/lentilshunt-node/tests/entry/fixture.rs
@@ -196,7 +196,6 @@
         pool: Arc::new(Pool::default()),
         stop: CancellationToken::new(),
         history: Writer::open("", "test", 1).expect("no file"),
-        members: ArcSwap::default(),
         log,
         settings,
     })
