--- a/crates/lentilshunt-core/src/routing/observations.rs
+++ b/crates/lentilshunt-core/src/routing/observations.rs
@@ -99,6 +99,10 @@
     }
 
     fn observation(&self, endpoint: &Endpoint, now: Instant) -> Arc<Observation> {
+        let known = self.endpoints.get(&endpoint.instance);
+        if let Some(known) = known.filter(|known| known.is_of(endpoint)) {
+            return known;
+        }
         self.endpoints.get_or_put(
             &endpoint.instance,
             Observation::new(endpoint.incarnation, self.origin, now),
--- a/crates/lentilshunt-net/tests/http_server.rs
+++ b/crates/lentilshunt-net/tests/http_server.rs
@@ -1,6 +1,13 @@
 //! The graceful stop of a server.
 
-use std::{net::Ipv4Addr, sync::Arc, time::Duration};
+use std::{
+    net::Ipv4Addr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -18,14 +25,28 @@
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
 
-/// Answers after a time.
-#[derive(Debug)]
-struct Slow(Duration);
+/// Answers after a time, and counts the requests that it works on.
+#[derive(Debug, Default)]
+struct Slow {
+    time: Duration,
+    running: Arc<AtomicUsize>,
+}
+
+/// Counts a request until it is answered or dropped.
+struct Running(Arc<AtomicUsize>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
 
 impl Handler for Slow {
     fn handle(&self, _request: Request<Incoming>) -> Pending<'_, Response<Full<Bytes>>> {
         Box::pin(async move {
-            tokio::time::sleep(self.0).await;
+            self.running.fetch_add(1, Ordering::SeqCst);
+            let _running = Running(Arc::clone(&self.running));
+            tokio::time::sleep(self.time).await;
             whole(StatusCode::OK, "whole")
         })
     }
@@ -36,6 +57,7 @@
     stop: CancellationToken,
     running: JoinHandle<()>,
     client: TcpStream,
+    requests: Arc<AtomicUsize>,
 }
 
 impl Fixture {
@@ -44,7 +66,9 @@
         let notice = CancellationToken::new();
         let stop = CancellationToken::new();
         let address = (Ipv4Addr::new(127, 50, 0, 2), 0).into();
-        let server = Server::bind(address, Arc::new(Slow(time)))
+        let requests = Arc::<AtomicUsize>::default();
+        let running = Arc::clone(&requests);
+        let server = Server::bind(address, Arc::new(Slow { time, running }))
             .await
             .expect("a free port")
             .with_notice(notice.clone());
@@ -54,6 +78,7 @@
             running: tokio::spawn(server.run(stop.clone())),
             notice,
             stop,
+            requests,
         }
     }
 
@@ -136,3 +161,25 @@
     fixture.stop.cancel();
     assert!(fixture.call().await);
 }
+
+/// The work on a request ends when its client has gone.
+#[tokio::test]
+async fn run_client_gone() {
+    let mut fixture = Fixture::new(Duration::from_mins(1)).await;
+    fixture.client.write_all(REQUEST).await.expect("a server");
+    let running = |count| {
+        let requests = Arc::clone(&fixture.requests);
+        async move {
+            while requests.load(Ordering::SeqCst) != count {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        }
+    };
+    let (begun, ended) = (running(1), running(0));
+    let longest = Duration::from_secs(10);
+    tokio::time::timeout(longest, begun)
+        .await
+        .expect("a request");
+    drop(fixture.client);
+    tokio::time::timeout(longest, ended).await.expect("the end");
+}
--- a/crates/lentilshunt-node/tests/entry/fixture.rs
+++ b/crates/lentilshunt-node/tests/entry/fixture.rs
@@ -180,7 +180,7 @@
     }
 }
 
-fn context(count: usize) -> Arc<Context> {
+pub fn context(count: usize) -> Arc<Context> {
     let text = "[instance]\nname = own\nregion = r\ndomain = d\n\
         [listen]\ncallers = 127.0.0.1:7000\npeers = 127.0.0.1:7001\nadmin = 127.0.0.1:7002\n\
         [platform]\naddress = 127.0.0.1:7100\n[log]\nlevel = error\n";
