--- a/crates/lentilshunt-node/tests/entry/guard.rs
+++ b/crates/lentilshunt-node/tests/entry/guard.rs
@@ -16,7 +16,7 @@
 use lentilshunt_net::{
     Pending,
     call::{Name, Reply, read_reply, write_reply},
-    http::{Exchange, Handler, Pool, Server},
+    http::{Exchange, Handler, Pool, Server, Stop},
 };
 use lentilshunt_node::entry::Guard;
 use tokio_util::sync::CancellationToken;
@@ -59,7 +59,7 @@
             .await
             .expect("a free port");
         let address = server.address().expect("an address");
-        tokio::spawn(server.run(CancellationToken::new()));
+        tokio::spawn(server.run(Stop::at_once(CancellationToken::new())));
         Self {
             address,
             suspects,
