--- a/xtask/src/bench/path/scene.rs
+++ b/xtask/src/bench/path/scene.rs
@@ -8,14 +8,13 @@
 
 use lentilshunt_core::config::Snapshot;
 use lentilshunt_load::{
-    fleet::{Fleet, Layout, Remote, Server},
+    fleet::{Fleet, Layout, Remote, Server, example},
     operator::Operator,
 };
 use lentilshunt_net::history::Writer;
 use snafu::{OptionExt, ResultExt, Whatever, ensure_whatever};
 
 use super::Arguments;
-use crate::example::example;
 
 /// Example inventory.
 const INVENTORY: &str = "andina";
@@ -44,7 +43,8 @@
         run_us: u64,
         calls: &str,
     ) -> Result<Self, Whatever> {
-        let snapshot = example(root, INVENTORY)?;
+        let examples = root.join("examples").join(INVENTORY);
+        let snapshot = example(&examples).whatever_context("no example")?;
         let mut layout = Layout::new(&snapshot, SERVERS, arguments.network);
         layout.run_us = run_us;
         layout.calls = calls.to_owned();
