--- a/crates/lentilshunt-net/src/http/server.rs
+++ b/crates/lentilshunt-net/src/http/server.rs
@@ -8,7 +8,10 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use super::{Handler, Stop, lane::IDLE_TIME};
@@ -75,6 +78,11 @@
                 Err(_exhausted) => tokio::time::sleep(ACCEPT_PAUSE).await,
             }
         }
+        // Connections that the system has accepted already may carry a request.
+        while let Ok(Ok((stream, _peer))) = timeout(Duration::ZERO, self.listener.accept()).await {
+            let handler = Arc::clone(&self.handler);
+            connections.spawn(connection(stream, handler, stop.clone()));
+        }
         drop(self.listener);
         connections.close();
         connections.wait().await;
