--- a/crates/lentilshunt-net/src/http/pool.rs
+++ b/crates/lentilshunt-net/src/http/pool.rs
@@ -224,6 +224,10 @@
     request: Request<Full<Bytes>>,
 ) -> Result<(Sender, Result<Response<Incoming>, Unanswered>), Error> {
     let address = exchange.address;
+    // A process that was paused meanwhile must not send what is given up.
+    if exchange.deadline <= Instant::now() {
+        return ConnectTimeoutSnafu { address }.fail();
+    }
     let sending = sender.try_send_request(request);
     let sent = timeout_at(exchange.deadline.into(), sending)
         .await
--- a/crates/lentilshunt-node/src/executor/claims/wire.rs
+++ b/crates/lentilshunt-node/src/executor/claims/wire.rs
@@ -18,7 +18,7 @@
 /// Asks holders over a new connection each, since pooled ones may be silent.
 #[derive(Debug)]
 pub struct Wire {
-    source: IpAddr,
+    pool: Pool,
     limit: usize,
 }
 
@@ -26,7 +26,10 @@
     /// Creates an asker that takes answers of up to `limit` bytes.
     #[must_use]
     pub fn new(source: IpAddr, limit: usize) -> Self {
-        Self { source, limit }
+        Self {
+            pool: Pool::from_source(source),
+            limit,
+        }
     }
 
     async fn resolve(&self, claim: Claim) -> Option<Resolution<Reply>> {
@@ -37,9 +40,8 @@
             remaining_ms: 0,
             bar: false,
         };
-        let pool = Pool::from_source(self.source);
         let deadline = Instant::now() + TIMEOUT;
-        let (resolution, reply) = ask(&pool, address, &question, deadline, self.limit).await?;
+        let (resolution, reply) = ask(&self.pool, address, &question, deadline, self.limit).await?;
         Some(match resolution {
             call::Resolution::Barred => Resolution::Barred,
             call::Resolution::Running => Resolution::Running,
