--- a/xtask/src/chaos/mod.rs
+++ b/xtask/src/chaos/mod.rs
@@ -6,13 +6,10 @@
 };
 
 use bpaf::Bpaf;
-use lentilshunt_load::{
-    chaos::{self, Options, Verdict},
-    fleet::example,
-};
+use lentilshunt_load::chaos::{self, Options, Verdict};
 use snafu::{ResultExt, Whatever, ensure_whatever};
 
-use crate::cargo::cargo;
+use crate::{cargo::cargo, example::example};
 
 /// Violations of one run that are printed.
 const PRINTED: usize = 12;
@@ -75,9 +72,8 @@
 }
 
 fn options(root: &Path, arguments: &Arguments, seed: u64) -> Result<Options, Whatever> {
-    let example_folder = root.join("examples").join(&arguments.inventory);
     Ok(Options {
-        snapshot: example(&example_folder).whatever_context("the example is invalid")?,
+        snapshot: example(root, &arguments.inventory)?,
         servers: arguments.servers,
         network: arguments.network,
         seed,
--- a/xtask/src/demo/mod.rs
+++ b/xtask/src/demo/mod.rs
@@ -5,11 +5,11 @@
 use std::{fs, path::Path};
 
 use bpaf::Bpaf;
-use lentilshunt_load::{fleet::example, report::Report};
+use lentilshunt_load::report::Report;
 use snafu::{ResultExt, Whatever, ensure_whatever};
 
 use self::scene::Scene;
-use crate::cargo::cargo;
+use crate::{cargo::cargo, example::example};
 
 /// Arguments of the demo.
 #[derive(Bpaf, Clone, Debug)]
@@ -44,8 +44,7 @@
         build.push("--release");
     }
     cargo(root, &build, &[])?;
-    let folder = root.join("examples").join(&arguments.inventory);
-    let snapshot = example(&folder).whatever_context("the example is invalid")?;
+    let snapshot = example(root, &arguments.inventory)?;
     let runtime = tokio::runtime::Runtime::new().whatever_context("no runtime")?;
     let report = runtime.block_on(play(root, arguments, snapshot))?;
     println!("\n{report}");
--- /dev/null
+++ b/xtask/src/example.rs
@@ -0,0 +1,17 @@
+//! Compiles an example configuration.
+
+use std::path::Path;
+
+use lentilshunt_core::config::Snapshot;
+use lentilshunt_load::fleet;
+use snafu::{ResultExt, Whatever};
+
+/// Compiles the inventory and rules of an example.
+///
+/// # Errors
+///
+/// Returns an error when a file cannot be read or is invalid.
+pub fn example(root: &Path, name: &str) -> Result<Snapshot, Whatever> {
+    let folder = root.join("examples").join(name);
+    fleet::example(&folder).with_whatever_context(|_| format!("example {name} cannot be used"))
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,6 +4,7 @@
 mod cargo;
 mod chaos;
 mod demo;
+mod example;
 mod lint;
 mod test;
 
