--- a/crates/lentilshunt-load/src/caller/call.rs
+++ b/crates/lentilshunt-load/src/caller/call.rs
@@ -33,6 +33,8 @@
 const ATTEMPT_HEADER: &str = "standin-attempt";
 /// Verdict in the history of an attempt that found no connection.
 const NOT_SENT: &str = "not-sent";
+/// Detail in the history of a request that crashes its upstream.
+pub(crate) const CRASHES: &str = "crashes";
 /// Header that makes the upstream stand-in crash.
 const CRASH_HEADER: &str = "standin-crash";
 
@@ -113,6 +115,7 @@
         sent.instance = Some(node.to_string());
         sent.service = Some(self.target.service.clone());
         sent.idempotent = Some(self.target.idempotent);
+        sent.detail = self.crashes.then(|| CRASHES.to_owned());
         sent.expected = Some(digest(&self.expected()));
         sent
     }
@@ -165,6 +168,7 @@
     let mut replied = sent;
     replied.at_us = now_us();
     replied.kind = Kind::Replied;
+    replied.detail = None;
     replied.verdict = verdict(answer).map(|verdict| verdict.to_string());
     match answer {
         Ok(answer) => {
--- a/crates/lentilshunt-load/src/caller/mod.rs
+++ b/crates/lentilshunt-load/src/caller/mod.rs
@@ -5,6 +5,7 @@
 mod plan;
 mod send;
 
+pub(crate) use call::CRASHES;
 pub use call::Call;
 pub use direct::{Upstream, run_direct};
 pub use plan::{Plan, Target};
--- a/crates/lentilshunt-load/src/chaos/scene.rs
+++ b/crates/lentilshunt-load/src/chaos/scene.rs
@@ -23,6 +23,9 @@
 /// Longest time of a graceful stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(25);
 
+/// Longest time until a crash is seen, in microseconds.
+const CRASH_NOTICE_US: u64 = 200_000;
+
 /// A disturbance in force.
 #[derive(Debug)]
 pub(super) struct Active {
@@ -121,7 +124,7 @@
             if !self.held.contains(&process) && !self.is_running(&process) {
                 self.serial += 1;
                 let id = format!("crash-{}", self.serial);
-                self.write(Kind::Fault, &id, &process, "crashed");
+                self.write_crash(&id, &process);
                 self.fleet.start_upstream(&server)?;
                 self.write(Kind::Healed, &id, &process, "crashed");
             }
@@ -317,6 +320,16 @@
         }
     }
 
+    /// Records a crash as of the last look at the process before it was seen.
+    fn write_crash(&self, id: &str, process: &str) {
+        let mut fault = event(Kind::Fault);
+        fault.at_us = fault.at_us.saturating_sub(CRASH_NOTICE_US);
+        fault.request = Some(id.to_owned());
+        fault.instance = Some(process.to_owned());
+        fault.detail = Some("crashed".to_owned());
+        self.history.write(fault);
+    }
+
     fn write(&self, kind: Kind, id: &str, process: &str, detail: &str) {
         let mut fault = event(kind);
         fault.request = Some(id.to_owned());
--- a/crates/lentilshunt-load/src/check/stop.rs
+++ b/crates/lentilshunt-load/src/check/stop.rs
@@ -5,6 +5,7 @@
 use lentilshunt_schema::history::{Event, Kind};
 
 use super::{Faults, Promise, Violation};
+use crate::caller::CRASHES;
 
 /// One planned stop of a process.
 #[derive(Debug)]
@@ -29,8 +30,8 @@
 /// node ended and replied to after the stop began, or when the upstream beside
 /// the node was running it. Such a request is cut off when its caller gets
 /// neither an answer nor `not-run`. A run on a stopping upstream is cut off
-/// when it does not end. Requests during which a fault was in force are left
-/// out, since the fault may have cut them off.
+/// when it does not end. Requests that crash their upstream, and those during
+/// which a fault was in force, are left out, since that may have cut them off.
 #[must_use]
 pub fn judge(history: &[Event]) -> Vec<Violation> {
     let faults = Faults::collect(history);
@@ -79,6 +80,9 @@
 
 impl Attempt<'_> {
     fn is_settled(&self) -> bool {
+        if self.sent.detail.as_deref() == Some(CRASHES) {
+            return true;
+        }
         let verdict = self.replied.and_then(|replied| replied.verdict.as_deref());
         matches!(verdict, Some("ran" | "not-run" | "not-sent"))
     }
--- a/crates/lentilshunt-load/tests/check.rs
+++ b/crates/lentilshunt-load/tests/check.rs
@@ -161,6 +161,12 @@
     assert_eq!(broken(history(Some("may-have-run"), "")), cut);
     let before = stopping(vec![sent(2, "1", true), replied(4, "1", None, "")]);
     assert_eq!(broken(before), []);
+    let mut crashes = history(None, "");
+    crashes
+        .iter_mut()
+        .filter(|event| event.kind == Kind::Sent)
+        .for_each(|sent| sent.detail = Some("crashes".to_owned()));
+    assert_eq!(broken(crashes), []);
     let mut under_fault = history(None, "");
     under_fault.push(fault(6, Kind::Fault, "cut"));
     under_fault.push(fault(7, Kind::Healed, "cut"));
