fix(dissemination): push what a relay received before confirming it

A relay now pushes in the same step in which it confirms. A missing neighbour of a restarted node was looked at first and ruled out: the test draining_is_seen_through_restarted_node passes with and without its change.

--- a/crates/lentilshunt-core/src/dissemination/hybrid/spread.rs
+++ b/crates/lentilshunt-core/src/dissemination/hybrid/spread.rs
@@ -69,6 +69,16 @@
         }
     }
 
+    /// Pushes changes of state that wait at once.
+    pub(super) fn push_now(&mut self, now: Instant) {
+        let mut waiting = self.pending.changes.values();
+        let urgent = waiting.any(|rumour| rumour.change > Change::Room);
+        if urgent || !self.pending.reaches.is_empty() {
+            self.pending.due = Some(now);
+            self.push_timer(now);
+        }
+    }
+
     /// Queues a statement on reachability.
     pub(super) fn push_reach_later(&mut self, now: Instant, reach: Reach) {
         self.pending.reaches.push(reach);
--- a/crates/lentilshunt-core/src/dissemination/hybrid/sync.rs
+++ b/crates/lentilshunt-core/src/dissemination/hybrid/sync.rs
@@ -159,6 +159,10 @@
             self.pass_on(now, &update.instance, change, !near);
         }
         self.take_reaches(now, delta.reaches);
+        if !near {
+            // The sender counts on this node once it has the answer.
+            self.push_now(now);
+        }
         for instance in &delta.wanted {
             let held = self.roster.get(instance);
             corrections.extend(held.map(|held| held.entry.clone()));
