--- a/crates/lentilshunt-node/src/executor/local.rs
+++ b/crates/lentilshunt-node/src/executor/local.rs
@@ -12,7 +12,7 @@
 use lentilshunt_schema::{call, peer::Announcement};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use super::{Backend, Pooled, Runner};
+use super::{Backend, Claimant, Pooled, Runner};
 use crate::context::Context;
 
 /// Executes attempts on the upstream of this instance.
@@ -28,17 +28,23 @@
 
 impl Local {
     /// Creates an executor that has not heard of its upstream.
+    ///
+    /// Without a claimant, requests with an idempotency key are refused.
     #[must_use]
-    pub fn new(context: Arc<Context>) -> Self {
+    pub fn new(context: Arc<Context>, claimant: Option<Claimant>) -> Self {
         let limit = usize::try_from(context.settings.calls.body_bytes).unwrap_or(usize::MAX);
         let pooled = Pooled::new(Arc::clone(&context.pool), limit);
-        Self::with_backend(context, Arc::new(pooled))
+        Self::with_backend(context, claimant, Arc::new(pooled))
     }
 
     /// Creates an executor that reaches its upstream through `backend`.
     #[must_use]
-    pub fn with_backend(context: Arc<Context>, backend: Arc<dyn Backend>) -> Self {
-        let runner = Arc::new(Runner::new(Arc::clone(&context), backend));
+    pub fn with_backend(
+        context: Arc<Context>,
+        claimant: Option<Claimant>,
+        backend: Arc<dyn Backend>,
+    ) -> Self {
+        let runner = Arc::new(Runner::new(Arc::clone(&context), backend, claimant));
         Self {
             context,
             runner,
@@ -59,19 +65,25 @@
         incarnation: Incarnation,
         deadline: Instant,
     ) -> Resolution<Reply> {
-        if incarnation != self.context.incarnation {
-            return Resolution::MayHaveRun;
-        }
-        self.runner.resolve(request, deadline)
+        let resolution = if incarnation == self.context.incarnation {
+            self.runner.resolve(request, deadline)
+        } else {
+            Resolution::MayHaveRun
+        };
+        count_question(&resolution);
+        resolution
     }
 
     /// Tells what became of a request that was accepted here before.
     #[must_use]
     pub fn recall(&self, request: &str, incarnation: Incarnation) -> Resolution<Reply> {
-        if incarnation != self.context.incarnation {
-            return Resolution::MayHaveRun;
-        }
-        self.runner.recall(request)
+        let resolution = if incarnation == self.context.incarnation {
+            self.runner.recall(request)
+        } else {
+            Resolution::MayHaveRun
+        };
+        count_question(&resolution);
+        resolution
     }
 
     /// Waits until no accepted request is left.
@@ -86,7 +98,7 @@
             return Reply::refused(Reason::NotReady);
         }
         if call.idempotent {
-            return self.runner.run(&call).await;
+            return self.runner.run(call).await;
         }
         let gone = CancellationToken::new();
         let _cancels = gone.clone().drop_guard();
@@ -101,7 +113,14 @@
 
 impl Executor for Local {
     fn execute(&self, endpoint: Arc<Endpoint>, call: Arc<Call>) -> Pending<'_, Reply> {
-        Box::pin(async move { self.run(&endpoint, call).await })
+        Box::pin(async move {
+            let reply = self.run(&endpoint, call).await;
+            count(&reply);
+            Reply {
+                room: Some(self.runner.room()),
+                ..reply
+            }
+        })
     }
 
     fn resolve(
@@ -128,3 +147,22 @@
         Resolution::MayHaveRun => (call::Resolution::MayHaveRun, None),
     }
 }
+
+/// Counts an attempt that did not run here, or whose outcome is not known.
+fn count(reply: &Reply) {
+    if let Some(reason) = reply.reason {
+        let verdict = reply.verdict.to_string();
+        let labels = [("reason", reason.to_string()), ("verdict", verdict)];
+        metrics::counter!("lentilshunt_executor_refusals_total", &labels).increment(1);
+    }
+}
+
+fn count_question(resolution: &Resolution<Reply>) {
+    let resolution = match resolution {
+        Resolution::Barred => "barred",
+        Resolution::Running => "running",
+        Resolution::Answered(_) => "answered",
+        Resolution::MayHaveRun => "may_have_run",
+    };
+    metrics::counter!("lentilshunt_questions_total", "resolution" => resolution).increment(1);
+}
--- a/crates/lentilshunt-node/src/executor/pooled.rs
+++ b/crates/lentilshunt-node/src/executor/pooled.rs
@@ -3,10 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Instant};
 
 use bytes::Bytes;
-use hyper::{
-    Method, Response, StatusCode,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
-};
+use hyper::Response;
 use lentilshunt_core::verdict::{Reason, Verdict};
 use lentilshunt_net::{
     Pending,
@@ -40,8 +37,7 @@
             limit: self.limit,
         };
         match self.pool.exchange(exchange, request).await {
-            Ok(response) if is_whole(&call.method, &response) => ran(response),
-            Ok(_truncated) => Reply::unknown(Reason::BadAnswer),
+            Ok(response) => ran(response),
             Err(error) => Reply::failed(error.verdict(), reason(&error)),
         }
     }
@@ -66,25 +62,6 @@
     }
 }
 
-/// Returns whether the end of an answer's body is known from its framing.
-///
-/// A body that ends with its connection cannot be told from a truncated one.
-fn is_whole(method: &Method, response: &Response<Bytes>) -> bool {
-    let status = response.status();
-    let bodiless = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
-    if bodiless || method == Method::HEAD {
-        return true;
-    }
-    let headers = response.headers();
-    if headers.contains_key(TRANSFER_ENCODING) {
-        return true;
-    }
-    let length = headers
-        .get(CONTENT_LENGTH)
-        .and_then(|value| value.to_str().ok());
-    length.and_then(|value| value.parse().ok()) == Some(response.body().len())
-}
-
 /// Returns the reason for a failed exchange with the upstream.
 fn reason(error: &Error) -> Reason {
     match error {
--- a/crates/lentilshunt-node/src/peer/mod.rs
+++ b/crates/lentilshunt-node/src/peer/mod.rs
@@ -3,5 +3,6 @@
 mod control;
 mod handler;
 pub mod path;
+pub mod question;
 
 pub use handler::Peer;
