--- a/crates/lentilshunt-core/tests/dissemination_storm.rs
+++ b/crates/lentilshunt-core/tests/dissemination_storm.rs
@@ -1,10 +1,10 @@
 //! Drains in a storm of restarts and changes of load.
 
-mod common;
+mod fleet;
 
 use std::time::Duration;
 
-use common::fleet;
+use fleet::fleet;
 use lentilshunt_core::membership::Phase;
 use lentilshunt_fake::Fleet;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
