perf(claim): keep claimed requests and count failures in flight as one

Each of up to four transactions that failed together raised the pause, and the requests of a batch filled the queue of the upstream, which refused the rest although their keys were claimed.

Failures in flight together now raise the pause once, and a claimed request waits also when the queue is full; it was admitted before it was claimed.

--- a/crates/lentilshunt-core/src/admission/queue.rs
+++ b/crates/lentilshunt-core/src/admission/queue.rs
@@ -18,7 +18,7 @@
 }
 
 impl<T> Queue<T> {
-    /// Creates a queue for at most `capacity` requests.
+    /// Creates a queue that is full with `capacity` requests.
     #[must_use]
     pub fn new(capacity: usize) -> Self {
         Self {
@@ -50,18 +50,21 @@
         self.waiting.range(..behind).count()
     }
 
-    /// Adds a request; returns none when the queue is full.
-    pub fn push(&mut self, deadline: Instant, request: T) -> Option<Ticket> {
-        if self.waiting.len() >= self.capacity {
-            return None;
-        }
+    /// Returns whether the queue takes no further request.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.waiting.len() >= self.capacity
+    }
+
+    /// Adds a request, also to a full queue.
+    pub fn push(&mut self, deadline: Instant, request: T) -> Ticket {
         self.number += 1;
         let ticket = Ticket {
             deadline,
             number: self.number,
         };
         self.waiting.insert(ticket, request);
-        Some(ticket)
+        ticket
     }
 
     /// Takes the request with the earliest deadline.
--- a/crates/lentilshunt-core/src/claim/pace.rs
+++ b/crates/lentilshunt-core/src/claim/pace.rs
@@ -7,7 +7,7 @@
 /// Highest level; each doubles the time between two transactions.
 const MAX_LEVEL: u32 = 6;
 /// Successes in a row after which the level falls.
-const SUCCESSES: u32 = 8;
+const SUCCESSES: u32 = 4;
 
 /// Spreads a node's transactions when the platform is overloaded or away.
 ///
@@ -17,6 +17,8 @@
     level: u32,
     successes: u32,
     next_at: Instant,
+    /// Instant before which a failure does not raise the level again.
+    settles_at: Instant,
 }
 
 impl Pace {
@@ -27,6 +29,7 @@
             level: 0,
             successes: 0,
             next_at: now,
+            settles_at: now,
         }
     }
 
@@ -53,9 +56,14 @@
     }
 
     /// Takes a transaction that the platform refused or did not answer.
+    ///
+    /// Failures of transactions that were in flight together count as one.
     pub fn fail(&mut self, now: Instant) {
         self.successes = 0;
-        self.level = (self.level + 1).min(MAX_LEVEL);
+        if now >= self.settles_at {
+            self.level = (self.level + 1).min(MAX_LEVEL);
+            self.settles_at = now + self.interval();
+        }
         self.next_at = self.next_at.max(now + self.interval());
     }
 
--- /dev/null
+++ b/crates/lentilshunt-core/tests/admission.rs
@@ -0,0 +1,54 @@
+//! Tests of the slots, the queue and the expected run time of an upstream.
+
+use std::time::{Duration, Instant};
+
+use lentilshunt_core::admission::{Estimate, Queue, Slots};
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+#[test]
+fn queue_by_deadline_then_arrival() {
+    let now = Instant::now();
+    let mut queue = Queue::new(3);
+    let late = queue.push(now + MILLISECOND * 9, "late");
+    let _first = queue.push(now + MILLISECOND * 5, "first");
+    assert!(!queue.is_full());
+    let _second = queue.push(now + MILLISECOND * 5, "second");
+    assert!(queue.is_full());
+    assert_eq!(queue.ahead_of(now + MILLISECOND * 5), 2);
+    assert_eq!(queue.ahead_of(now), 0);
+    assert_eq!(queue.remove(late), Some("late"));
+    assert_eq!(queue.remove(late), None);
+    let order = [queue.pop(), queue.pop(), queue.pop()];
+    assert_eq!(order, [Some("first"), Some("second"), None]);
+}
+
+#[test]
+fn slots_up_to_limit() {
+    let slots = Slots::default();
+    assert!(!slots.take());
+    slots.resize(2);
+    assert_eq!(
+        [slots.take(), slots.take(), slots.take()],
+        [true, true, false]
+    );
+    slots.resize(1);
+    slots.give_back();
+    assert_eq!((slots.free(), slots.take()), (0, false));
+    slots.give_back();
+    assert_eq!((slots.free(), slots.take()), (1, true));
+}
+
+#[test]
+fn estimate_by_observed_run_times() {
+    let now = Instant::now();
+    let estimate = Estimate::default();
+    assert_eq!(estimate.answered_at(now, 5, 2), now);
+    estimate.observe(MILLISECOND * 8);
+    assert_eq!(estimate.run_time(), MILLISECOND * 8);
+    estimate.observe(MILLISECOND * 16);
+    assert_eq!(estimate.run_time(), MILLISECOND * 9);
+    // Three requests before it on two slots, then its own run.
+    let answered_at = estimate.answered_at(now, 3, 2);
+    assert_eq!(answered_at - now, MILLISECOND * 27);
+}
--- a/crates/lentilshunt-node/src/executor/gate.rs
+++ b/crates/lentilshunt-node/src/executor/gate.rs
@@ -75,18 +75,27 @@
         if self.room() > 0 {
             return Ok(());
         }
-        let queue = locked(&self.queue);
-        let ahead = u32::try_from(queue.ahead_of(deadline)).unwrap_or(u32::MAX);
-        drop(queue);
-        self.in_time(ahead, deadline)
+        self.look(&locked(&self.queue), deadline)
     }
 
-    /// Waits for a slot; dropping the future leaves the queue.
+    /// Waits for a slot as [`Gate::check`] allows.
     ///
     /// # Errors
     ///
-    /// Returns [`Reason::QueueFull`], or [`Reason::Deadline`] when the deadline
-    /// passes or is not expected to be met.
+    /// Returns the errors of [`Gate::check`] and [`Gate::enter`].
+    pub(super) async fn check_and_enter(
+        self: &Arc<Self>,
+        deadline: Instant,
+    ) -> Result<Slot, Reason> {
+        self.check(deadline)?;
+        self.enter(deadline).await
+    }
+
+    /// Waits for a slot, also in a full queue; dropping the future leaves the queue.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Reason::Deadline`] when the deadline passes.
     pub(super) async fn enter(self: &Arc<Self>, deadline: Instant) -> Result<Slot, Reason> {
         if self.waiting.load(Ordering::SeqCst) == 0
             && let Some(slot) = self.take()
@@ -94,7 +103,7 @@
             return Ok(slot);
         }
         let (sender, granted) = oneshot::channel();
-        let ticket = self.wait(deadline, sender)?;
+        let ticket = self.wait(deadline, sender);
         let _place = Place { gate: self, ticket };
         // A slot may have come free between the first look and the wait.
         self.serve();
@@ -104,20 +113,22 @@
         }
     }
 
-    fn wait(&self, deadline: Instant, sender: oneshot::Sender<Slot>) -> Result<Ticket, Reason> {
+    fn wait(&self, deadline: Instant, sender: oneshot::Sender<Slot>) -> Ticket {
         let mut queue = locked(&self.queue);
-        let ahead = u32::try_from(queue.ahead_of(deadline)).unwrap_or(u32::MAX);
-        self.in_time(ahead, deadline)?;
-        let ticket = queue.push(deadline, sender).ok_or(Reason::QueueFull)?;
+        let ticket = queue.push(deadline, sender);
         self.waiting.fetch_add(1, Ordering::SeqCst);
-        Ok(ticket)
+        ticket
     }
 
-    fn in_time(&self, ahead: u32, deadline: Instant) -> Result<(), Reason> {
+    fn look(&self, queue: &Queue<oneshot::Sender<Slot>>, deadline: Instant) -> Result<(), Reason> {
+        let ahead = u32::try_from(queue.ahead_of(deadline)).unwrap_or(u32::MAX);
         let answered_at = self.estimate.answered_at(now(), ahead, self.slots.limit());
         if answered_at > deadline {
             return Err(Reason::Deadline);
         }
+        if queue.is_full() {
+            return Err(Reason::QueueFull);
+        }
         Ok(())
     }
 
--- a/crates/lentilshunt-node/src/executor/runner.rs
+++ b/crates/lentilshunt-node/src/executor/runner.rs
@@ -128,12 +128,14 @@
         call: &Call,
         attempt: &Attempt<'_>,
     ) -> Result<(Slot, Arc<Upstream>), Reply> {
+        let deadline = call.deadline;
+        let Some(key) = &call.key else {
+            return self.admit(deadline).await.map_err(Reply::refused);
+        };
         self.ready().map_err(Reply::refused)?;
-        if let Some(key) = &call.key {
-            self.gate.check(call.deadline).map_err(Reply::refused)?;
-            self.claim(call, key, attempt).await?;
-        }
-        self.enter(call.deadline).await.map_err(Reply::refused)
+        self.gate.check(deadline).map_err(Reply::refused)?;
+        self.claim(call, key, attempt).await?;
+        self.enter(deadline).await.map_err(Reply::refused)
     }
 
     /// Claims a key, or returns the reply to a request that must not run here.
@@ -198,12 +200,18 @@
 
     async fn admit(&self, deadline: Instant) -> Result<(Slot, Arc<Upstream>), Reason> {
         self.ready()?;
-        self.enter(deadline).await
+        let slot = self.gate.check_and_enter(deadline).await?;
+        self.place(slot, deadline)
     }
 
-    /// Waits for a slot of an upstream that may be draining by now.
+    /// Waits for a slot with a claim, which is not given up for a full queue.
     async fn enter(&self, deadline: Instant) -> Result<(Slot, Arc<Upstream>), Reason> {
         let slot = self.gate.enter(deadline).await?;
+        self.place(slot, deadline)
+    }
+
+    /// Returns the upstream for a slot; it may be draining by now.
+    fn place(&self, slot: Slot, deadline: Instant) -> Result<(Slot, Arc<Upstream>), Reason> {
         let upstream = self.alive()?;
         if deadline <= now() {
             return Err(Reason::Deadline);
