--- a/crates/lentilshunt-node/src/shell/mod.rs
+++ b/crates/lentilshunt-node/src/shell/mod.rs
@@ -12,11 +12,11 @@
     dissemination::{Event, Hybrid, Poll, Strategy},
     membership::Owner,
     quarantine::Suspects,
-    routing::{self, Place},
+    routing::Place,
 };
 use lentilshunt_net::{
     history::{Writer, event, now_us},
-    http::{Handler, Pool, Server},
+    http::{Handler, Pool, Server, Stop},
     meter, platform,
 };
 use lentilshunt_schema::{history::Kind, settings};
@@ -29,7 +29,7 @@
     admin::Admin,
     context::Context,
     control::{Control, Input},
-    entry::{Dispatcher, Entry, Guard, Remote},
+    entry::{Dispatcher, Entry, Guard, Remote, policy},
     executor::{Claimant, Local, Plan, Sweeper, Wire},
     peer::Peer,
 };
@@ -62,17 +62,23 @@
     let peer = Peer::new(Arc::clone(&context), Arc::clone(&local), events.clone());
     let suspects = Arc::new(Suspects::new(Instant::now()));
     let peer = Guard::new(Arc::clone(&context), Arc::clone(&suspects), peer);
-    let policy = Arc::new(routing::Local);
+    let policy = policy(&context.settings.calls);
     let dispatcher = Dispatcher::new(Arc::clone(&context), local, remote, policy, suspects);
     let entry = Entry::new(Arc::clone(&context), dispatcher);
     let admin = Admin::new(Arc::clone(&context), metrics);
 
-    let closed = CancellationToken::new();
-    let left = CancellationToken::new();
+    let to_callers = Stop {
+        leaving: context.stop.clone(),
+        closed: CancellationToken::new(),
+    };
+    let to_peers = Stop {
+        leaving: context.stop.clone(),
+        closed: CancellationToken::new(),
+    };
     let listen = &context.settings.listen;
-    let callers = serve(&listen.callers, Arc::new(entry), &closed).await?;
-    let peers = serve(&listen.peers, Arc::new(peer), &left).await?;
-    let admin = serve(&listen.admin, Arc::new(admin), &left).await?;
+    let callers = serve(&listen.callers, Arc::new(entry), &to_callers).await?;
+    let peers = serve(&listen.peers, Arc::new(peer), &to_peers).await?;
+    let admin = serve(&listen.admin, Arc::new(admin), &to_peers).await?;
     let controlling = tokio::spawn(control.run(received));
     info!(context.log, "the node runs"; "instance" => &context.place.instance);
 
@@ -82,13 +88,13 @@
     // The control task ends with the runtime; a full queue only delays the record.
     drop(events.send(Event::Stopping.into()).await);
     tokio::time::sleep(NOTICE).await;
-    closed.cancel();
+    to_callers.closed.cancel();
     let drained = async {
         drop(callers.await);
         running.drained().await;
         // Nodes that lost sight of an attempt still find its answer.
         tokio::time::sleep(LINGER).await;
-        left.cancel();
+        to_peers.closed.cancel();
         drop(peers.await);
     };
     let drain = Duration::from_millis(context.settings.calls.drain_ms);
@@ -190,13 +196,9 @@
     seeds.filter_map(|seed| seed.trim().parse().ok()).collect()
 }
 
-async fn serve(
-    text: &str,
-    handler: Arc<dyn Handler>,
-    closed: &CancellationToken,
-) -> io::Result<JoinHandle<()>> {
+async fn serve(text: &str, handler: Arc<dyn Handler>, stop: &Stop) -> io::Result<JoinHandle<()>> {
     let server = Server::bind(address(text)?, handler).await?;
-    Ok(tokio::spawn(server.run(closed.clone())))
+    Ok(tokio::spawn(server.run(stop.clone())))
 }
 
 /// Returns the address that connections to other processes come from.
--- a/crates/lentilshunt-node/tests/entry/fixture.rs
+++ b/crates/lentilshunt-node/tests/entry/fixture.rs
@@ -190,12 +190,12 @@
     let log = log::logger(&settings.log, "own");
     Arc::new(Context {
         routes: ArcSwap::from_pointee(table(count, &place)),
+        members: ArcSwap::default(),
         place,
         incarnation: 1,
         pool: Arc::new(Pool::default()),
         stop: CancellationToken::new(),
         history: Writer::open("", "test", 1).expect("no file"),
-        members: ArcSwap::default(),
         log,
         settings,
     })
@@ -217,10 +217,10 @@
             incarnation: 1,
             sequence: 1,
             base: 1,
+            reading: 0,
             service: "s".to_owned(),
             phase: Phase::Ready,
             slots: 8,
-            reading: 1,
             room: 8,
         })
         .collect();
