--- a/crates/lentilshunt-node/benches/claims.rs
+++ b/crates/lentilshunt-node/benches/claims.rs
@@ -26,7 +26,7 @@
     Pending,
     call::{Call, Executor, Reply},
     history::Writer,
-    http::{Exchange, Pool, Server},
+    http::{Exchange, Pool, Server, Stop},
     log,
     platform::Client,
 };
@@ -245,7 +245,7 @@
     let server = Server::bind(address, handler).await.unwrap();
     let platform = server.address().unwrap();
     let closed = CancellationToken::new();
-    let serving = tokio::spawn(server.run(closed.clone()));
+    let serving = tokio::spawn(server.run(Stop::at_once(closed.clone())));
     let nowhere = SocketAddr::from((Ipv4Addr::new(127, 60, 7, 2), 1));
     let instances: Vec<String> = (0..NODES).map(|node| node.to_string()).collect();
     let reached = |node: usize| match trouble {
--- a/crates/lentilshunt-node/src/peer/handler.rs
+++ b/crates/lentilshunt-node/src/peer/handler.rs
@@ -8,11 +8,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{
-    Request, Response, StatusCode,
-    body::Incoming,
-    header::{CONNECTION, HeaderValue},
-};
+use hyper::{Request, Response, StatusCode, body::Incoming};
 use lentilshunt_core::{
     dissemination::Event,
     id::Incarnation,
@@ -173,14 +169,6 @@
 
 impl Handler for Peer {
     fn handle(&self, request: Request<Incoming>) -> Pending<'_, Response<Full<Bytes>>> {
-        Box::pin(async move {
-            let mut response = self.answer(request).await;
-            if self.context.stop.is_cancelled() {
-                // The other end is not to reuse a connection that will be closed.
-                let headers = response.headers_mut();
-                headers.insert(CONNECTION, HeaderValue::from_static("close"));
-            }
-            response
-        })
+        Box::pin(self.answer(request))
     }
 }
