--- a/crates/lentilshunt-core/src/dissemination/hybrid/sync.rs
+++ b/crates/lentilshunt-core/src/dissemination/hybrid/sync.rs
@@ -16,7 +16,7 @@
 };
 
 /// Time between two comparisons with a node of the scope.
-const SYNC_INTERVAL: Duration = Duration::from_secs(10);
+const SYNC_INTERVAL: Duration = Duration::from_secs(20);
 /// First bound of the pause between attempts to join.
 const JOIN_FIRST: Duration = Duration::from_millis(400);
 /// Largest pause between attempts to join.
@@ -159,6 +159,10 @@
             self.pass_on(now, &update.instance, change, !near);
         }
         self.take_reaches(now, delta.reaches);
+        if !near {
+            // The sender counts on this node once it has the answer.
+            self.push_now(now);
+        }
         for instance in &delta.wanted {
             let held = self.roster.get(instance);
             corrections.extend(held.map(|held| held.entry.clone()));
--- a/crates/lentilshunt-net/src/http/lane.rs
+++ b/crates/lentilshunt-net/src/http/lane.rs
@@ -14,6 +14,8 @@
 use hyper::client::conn::http1::SendRequest;
 
 /// Time for which an idle connection is kept.
+///
+/// Servers keep it for longer, also when they stop.
 pub(super) const IDLE_TIME: Duration = Duration::from_secs(3);
 /// Idle connections that are used first.
 const HOT_CONNECTIONS: usize = 8;
