fix(config): select requests whatever the spelling of their path

A caller that wrote /boletas//registrar, /boletas/registrar/, /x/../boletas or /%62oletas escaped the rule that forbids repetition, so the request counted as idempotent and could be tried again, while an upstream that simplifies paths runs it as the same.

The cost on the path of a call was not measured.

--- a/crates/lentilshunt-core/src/config/mod.rs
+++ b/crates/lentilshunt-core/src/config/mod.rs
@@ -10,6 +10,7 @@
 mod head;
 mod limit;
 mod manifest;
+mod path;
 mod pattern;
 mod section;
 mod service;
--- a/crates/lentilshunt-core/src/config/pattern.rs
+++ b/crates/lentilshunt-core/src/config/pattern.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::path::normalize;
+
 /// Method and path of requests that are not idempotent.
 ///
 /// A path is matched segment by segment; `*` matches one segment and a
@@ -16,16 +18,23 @@
 
 impl Pattern {
     /// Returns whether a request is selected by this pattern.
+    ///
+    /// Different spellings of a path count as the same: repeated and trailing
+    /// slashes, `.` and `..`, and percent-encoded letters and digits. An
+    /// upstream may understand them as the same, so none of them may escape a
+    /// rule that forbids repetition.
     #[must_use]
     pub fn matches(&self, method: &str, path: &str) -> bool {
-        (self.method == "*" || self.method == method) && matches_path(&self.path, path)
+        let any = self.method == "*";
+        (any || self.method == method) && matches_path(&normalize(&self.path), &normalize(path))
     }
 
     /// Returns whether some request is selected by both patterns.
     #[must_use]
     pub fn overlaps(&self, other: &Self) -> bool {
         let any = self.method == "*" || other.method == "*";
-        (any || self.method == other.method) && overlaps_path(&self.path, &other.path)
+        let (own, others) = (normalize(&self.path), normalize(&other.path));
+        (any || self.method == other.method) && overlaps_path(&own, &others)
     }
 }
 
