fix(route): bound idempotent attempts on the own upstream too

A frozen upstream beside the node held an idempotent call until its deadline, and callers with very short deadlines ejected sound endpoints.

--- a/crates/lentilshunt-node/src/entry/attempt.rs
+++ b/crates/lentilshunt-node/src/entry/attempt.rs
@@ -13,7 +13,7 @@
 use super::now;
 
 /// Time after which an executing node is asked about a silent attempt.
-const FIRST_QUESTION: Duration = Duration::from_millis(250);
+pub(super) const FIRST_QUESTION: Duration = Duration::from_millis(250);
 /// Longest pause between two questions about a silent attempt.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 /// First pause between two questions about an attempt whose connection is lost.
@@ -56,13 +56,12 @@
     /// A reply of [`Verdict::MayHaveRun`] means that the executing node could
     /// not tell what became of the request.
     pub(super) async fn run(&self) -> Reply {
-        if !self.is_remote {
-            return self.execute().await;
-        }
         if self.call.idempotent {
             self.run_bounded().await
-        } else {
+        } else if self.is_remote {
             self.run_resolved().await
+        } else {
+            self.execute().await
         }
     }
 
--- a/crates/lentilshunt-node/src/entry/dispatcher.rs
+++ b/crates/lentilshunt-node/src/entry/dispatcher.rs
@@ -12,7 +12,12 @@
 };
 use lentilshunt_net::call::{Call, Executor, Reply};
 
-use super::{Notice, attempt::Attempt, meter::Meter, now};
+use super::{
+    Notice,
+    attempt::{Attempt, FIRST_QUESTION},
+    meter::Meter,
+    now,
+};
 use crate::context::Context;
 
 /// Tries calls until they have run or may not be tried again.
@@ -132,11 +137,19 @@
             is_remote,
             is_last: progress.tried.len() >= MAX_ATTEMPTS,
         };
-        let observed = self.observations.begin(endpoint, now());
+        let begun_at = now();
+        let observed = self.observations.begin(endpoint, begun_at);
         let reply = attempt.run().await;
         let now = now();
-        let outcome = Outcome::new(reply.verdict, reply.reason);
-        observed.end(outcome, reply.room, now);
+        let is_late =
+            reply.verdict == Verdict::MayHaveRun && reply.reason == Some(Reason::Deadline);
+        if is_late && now < begun_at + FIRST_QUESTION {
+            // The caller gave too little time; this says nothing of the endpoint.
+            drop(observed);
+        } else {
+            let outcome = Outcome::new(reply.verdict, reply.reason);
+            observed.end(outcome, reply.room, now);
+        }
         let distance = self.context.place.distance(endpoint);
         self.meter.attempt(distance, call, &reply);
         if reply.verdict == Verdict::Ran {
