--- a/xtask/src/bench/path/scene.rs
+++ b/xtask/src/bench/path/scene.rs
@@ -43,8 +43,8 @@
         run_us: u64,
         calls: &str,
     ) -> Result<Self, Whatever> {
-        let examples = root.join("examples").join(INVENTORY);
-        let snapshot = example(&examples).whatever_context("no example")?;
+        let folder = root.join("examples").join(INVENTORY);
+        let snapshot = example(&folder).whatever_context("the example is invalid")?;
         let mut layout = Layout::new(&snapshot, SERVERS, arguments.network);
         layout.run_us = run_us;
         layout.calls = calls.to_owned();
