--- a/crates/lentilshunt-node/tests/executor/pooled.rs
+++ b/crates/lentilshunt-node/tests/executor/pooled.rs
@@ -81,3 +81,30 @@
     let told = (reply.verdict, reply.reason);
     assert_eq!(told, (Verdict::NotRun, Some(Reason::Unreachable)));
 }
+
+#[tokio::test]
+async fn send_over_idle_connection_after_deadline() {
+    let address = SocketAddr::from((Ipv4Addr::new(127, 60, 8, 3), 0));
+    let listener = TcpListener::bind(address).await.unwrap();
+    let upstream = listener.local_addr().unwrap();
+    let serving = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buffer = vec![0; 4096];
+        let _read = stream.read(&mut buffer).await.unwrap();
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        stream.write_all(answer).await.unwrap();
+        // The end of the connection is all that may follow.
+        stream.read(&mut buffer).await.unwrap_or_default()
+    });
+    let pooled = Pooled::new(Arc::new(Pool::default()), 1024);
+    let mut in_time = call("r", None);
+    in_time.deadline = Instant::now() + Duration::from_secs(5);
+    let answered = pooled.send(upstream, Arc::new(in_time)).await;
+    assert_eq!(answered.verdict, Verdict::Ran);
+    let mut late = call("s", None);
+    late.deadline = Instant::now();
+    let refused = pooled.send(upstream, Arc::new(late)).await;
+    assert_eq!(refused.verdict, Verdict::NotRun);
+    drop(pooled);
+    assert_eq!(serving.await.unwrap(), 0);
+}
