--- a/crates/lentilshunt-cli/src/accept/conflict.rs
+++ b/crates/lentilshunt-cli/src/accept/conflict.rs
@@ -53,7 +53,7 @@
             0 => Snapshot::default(),
             base => reader.snapshot(&reader.version(base).await?).await?,
         };
-        for version in (self.base + 1..=self.newest.version).take(MAX_REVISIONS) {
+        for version in (self.base.saturating_add(1)..=self.newest.version).take(MAX_REVISIONS) {
             let head = reader.version(version).await?;
             let after = reader.snapshot(&head).await?;
             self.revisions.push(Revision {
@@ -89,7 +89,7 @@
                 write!(f, "\n{change}")?;
             }
         }
-        let first_unread = base + 1 + self.revisions.len() as u64;
+        let first_unread = base.saturating_add(1 + self.revisions.len() as u64);
         if first_unread <= newest {
             write!(f, "\nversions {first_unread} to {newest} were not read")?;
         }
--- a/crates/lentilshunt-cli/tests/command.rs
+++ b/crates/lentilshunt-cli/tests/command.rs
@@ -118,6 +118,8 @@
     let run = platform.accept(1, 10, &[]);
     assert_eq!(run.code, i32::from(CONFLICT));
     insta::assert_snapshot!(run.errors);
+    let run = platform.accept(u64::MAX, 10, &[]);
+    assert_eq!(run.code, i32::from(CONFLICT), "{run:?}");
     let run = platform.accept(1, 10, &["--json"]);
     let json: serde_json::Value = serde_json::from_str(&run.output).expect("JSON");
     let found = [
--- a/crates/lentilshunt-core/src/config/acceptance/proposal.rs
+++ b/crates/lentilshunt-core/src/config/acceptance/proposal.rs
@@ -56,7 +56,7 @@
     #[must_use]
     pub fn head(&self) -> Head {
         Head {
-            version: self.base + 1,
+            version: self.base.saturating_add(1),
             digest: self.digest.clone(),
             operation: self.operation.clone(),
         }
--- a/crates/lentilshunt-core/tests/config_acceptance.rs
+++ b/crates/lentilshunt-core/tests/config_acceptance.rs
@@ -90,10 +90,18 @@
             other => panic!("{other:?}"),
         }
     };
-    let cases = [(0, 0), (3, 3), (3, 2), (3, 0), (3, 4), (0, 1)];
+    let cases = [
+        (0, 0),
+        (3, 3),
+        (3, 2),
+        (3, 0),
+        (3, 4),
+        (0, 1),
+        (3, u64::MAX),
+    ];
     let outcomes = cases.map(|(versions, base)| outcome(versions, base));
     let expected = [
-        "accepted", "accepted", "conflict", "conflict", "conflict", "conflict",
+        "accepted", "accepted", "conflict", "conflict", "conflict", "conflict", "conflict",
     ];
     assert_eq!(outcomes, expected);
 }
