fix(dissemination): compare views before anything else on a new link

A new or restarted relay held its first comparison due together with a change of room; the change went out, the comparison was put off by 5 s, and what had changed before this node became relay waited for it. The comparison now goes first, and is tried again when its message is lost.

A push that a node cannot apply, because it lacks the base of an update, is passed on too, and kept until the node has joined.

--- a/crates/lentilshunt-core/src/dissemination/hybrid/link.rs
+++ b/crates/lentilshunt-core/src/dissemination/hybrid/link.rs
@@ -128,6 +128,7 @@
             let pause = link.backoff.fail(&mut self.random);
             link.version = 0;
             link.due = Some(now + pause);
+            link.sync_due = link.sync_due.min(now + pause);
             failed = Some(sending.domain);
         }
         for contact in self.links.contacts.values_mut() {
@@ -208,50 +209,57 @@
         if !is_due && !is_sync && !is_read {
             return;
         }
+        // A new relay must compare views before it sends what changes from then on.
+        if is_sync {
+            self.compare(now, target);
+        } else {
+            self.send_changes(now, target, is_read);
+        }
+    }
+
+    fn compare(&mut self, now: Instant, target: &Target) {
+        let pause = jitter(&mut self.random, SYNC_INTERVAL);
+        let destination = self.destination(target);
+        let Some(link) = self.links.active.get_mut(target) else {
+            return;
+        };
+        link.sync_due = now + pause;
+        let confirmed = (link.sent, link.read);
+        if let Some(destination) = destination {
+            self.send_sync(destination.1);
+            self.sending(now, target, destination, confirmed);
+        }
+    }
+
+    fn send_changes(&mut self, now: Instant, target: &Target, with_room: bool) {
         let interval = match target {
             Target::Domain(_) => DOMAIN_ROOM_INTERVAL,
             Target::Region(_) => REGION_ROOM_INTERVAL,
         };
-        let sync_pause = jitter(&mut self.random, SYNC_INTERVAL);
-        let read_pause = jitter(&mut self.random, interval);
+        let pause = jitter(&mut self.random, interval);
         let destination = self.destination(target);
+        let delta = self.changes(target, with_room);
+        let is_empty =
+            delta.entries.is_empty() && delta.updates.is_empty() && delta.reaches.is_empty();
+        let installed = self.replica.installed();
+        let counter = self.roster.counter();
         let Some(link) = self.links.active.get_mut(target) else {
             return;
         };
-        if is_sync {
-            link.sync_due = now + sync_pause;
-        }
-        if is_read {
-            link.read_due = now + read_pause;
+        link.due = None;
+        if with_room {
+            link.read_due = now + pause;
         }
-        if is_due {
-            link.due = None;
-        }
-        let Some((domain, to)) = destination else {
+        let Some(destination) = destination else {
             return;
         };
-        let (sent, read) = (link.sent, link.read);
-        let counter = self.roster.counter();
-        if is_due || is_read {
-            let delta = self.changes(target, is_read);
-            let installed = self.replica.installed();
-            let is_told = self.links.active.get(target).map(|link| link.version) == Some(installed);
-            let empty =
-                delta.entries.is_empty() && delta.updates.is_empty() && delta.reaches.is_empty();
-            if !empty || !is_told {
-                let read = if is_read { counter } else { read };
-                self.send(to, delta);
-                self.sending(now, target, (domain, to), (counter, read));
-                return;
-            }
-            if let Some(link) = self.links.active.get_mut(target) {
-                link.sent = counter;
-            }
-        }
-        if is_sync {
-            self.send_sync(to);
-            self.sending(now, target, (domain, to), (sent, read));
+        if is_empty && link.version == installed {
+            link.sent = counter;
+            return;
         }
+        let read = if with_room { counter } else { link.read };
+        self.send(destination.1, delta);
+        self.sending(now, target, destination, (counter, read));
     }
 
     fn sending(
--- a/crates/lentilshunt-core/src/dissemination/hybrid/spread.rs
+++ b/crates/lentilshunt-core/src/dissemination/hybrid/spread.rs
@@ -23,6 +23,8 @@
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest wait of a changed state for others.
 const STATE_DELAY: Duration = Duration::from_millis(30);
+/// Pushes that a node keeps until it has joined.
+const STALLED: usize = 64;
 /// Time for which changes are kept while no other node of the scope is known.
 const ALONE_DELAY: Duration = Duration::from_millis(250);
 /// Shortest time between two answers to pushes of one node.
@@ -35,6 +37,7 @@
 pub(super) struct Pending {
     changes: BTreeMap<InstanceId, Rumour>,
     reaches: Vec<Reach>,
+    stalled: Vec<Push>,
     due: Option<Instant>,
 }
 
@@ -145,8 +148,9 @@
                 self.link_later(now);
             }
         }
-        if news && self.way.travel == Travel::Tree {
-            self.push_down(push);
+        // What this node cannot apply is news to it, and perhaps to those behind it.
+        if (news || !wanted.is_empty()) && self.way.travel == Travel::Tree {
+            self.pass_down(push);
         }
         if corrections.is_empty() && wanted.is_empty() {
             self.confirm(now, from);
@@ -223,6 +227,22 @@
         push
     }
 
+    /// Passes a push on, or keeps it until this node has joined.
+    fn pass_down(&mut self, push: &Push) {
+        if self.neighbours().next().is_some() {
+            self.push_down(push);
+        } else if self.pending.stalled.len() < STALLED {
+            self.pending.stalled.push(push.clone());
+        }
+    }
+
+    /// Passes on what came before this node had joined.
+    pub(super) fn push_stalled(&mut self) {
+        for push in std::mem::take(&mut self.pending.stalled) {
+            self.push_down(&push);
+        }
+    }
+
     fn push_down(&mut self, push: &Push) {
         let own = self.instance.clone();
         for child in self.children(&push.origin, &own) {
--- a/crates/lentilshunt-core/src/dissemination/hybrid/sync.rs
+++ b/crates/lentilshunt-core/src/dissemination/hybrid/sync.rs
@@ -183,6 +183,7 @@
         }
         self.syncer.joined = true;
         self.syncer.join.succeed();
+        self.push_stalled();
         let instance = self.instance.clone();
         self.push_later(now, &instance, Change::Base);
     }
--- a/xtask/src/bench/dissemination/measure.rs
+++ b/xtask/src/bench/dissemination/measure.rs
@@ -32,6 +32,10 @@
 const STORM: f64 = 0.1;
 /// Largest load in thousandths.
 const LOAD: u32 = 1000;
+/// Slots of every service.
+const SLOTS: u32 = 9;
+/// Connections of every service.
+const CONNECTIONS: u32 = 110;
 /// Bytes of a page of memory.
 const PAGE: u64 = 4096;
 
@@ -166,6 +170,8 @@
         for service in 0..self.services {
             let name = format!("service-{service}");
             let service = snapshot.services.entry(name).or_default();
+            service.slots = SLOTS;
+            service.connections = CONNECTIONS;
             service.callers.insert(format!("caller-{}", self.version));
         }
         snapshot
--- a/xtask/src/bench/dissemination/mod.rs
+++ b/xtask/src/bench/dissemination/mod.rs
@@ -24,6 +24,9 @@
     /// Numbers of nodes, separated by commas
     #[bpaf(argument("NODES"), fallback("18,36,72,144,510".to_owned()), display_fallback)]
     nodes: String,
+    /// Ways to measure, separated by commas
+    #[bpaf(argument("WAYS"), fallback("poll,tree,epidemic,hybrid".to_owned()), display_fallback)]
+    ways: String,
 }
 
 /// Runs the measurement and writes `target/bench/dissemination.json` and `.svg`.
@@ -41,7 +44,9 @@
             .trim()
             .parse()
             .whatever_context("invalid number of nodes")?;
-        for way in Way::ALL {
+        let ways = arguments.ways.split(',');
+        let chosen = |way: &Way| ways.clone().any(|name| name.trim() == way.name());
+        for way in Way::ALL.into_iter().filter(chosen) {
             let result = measure(way, nodes, arguments.seed);
             println!("{}", table::line(&result));
             results.push(result);
@@ -78,6 +83,8 @@
         &seed,
         "--nodes",
         &arguments.nodes,
+        "--ways",
+        &arguments.ways,
     ];
     cargo(root, &words, &[])
 }
