--- a/xtask/src/chaos/mod.rs
+++ b/xtask/src/chaos/mod.rs
@@ -6,7 +6,10 @@
 };
 
 use bpaf::Bpaf;
-use lentilshunt_load::chaos::{self, Options, Verdict};
+use lentilshunt_load::{
+    chaos::{self, Options, Verdict},
+    check::{self, Violation},
+};
 use snafu::{ResultExt, Whatever, ensure_whatever};
 
 use crate::{cargo::cargo, example::example};
@@ -34,6 +37,9 @@
     servers: usize,
     /// Only planned stops
     planned: bool,
+    /// Only judges the history of an earlier run
+    #[bpaf(argument("FILE"))]
+    judge: Option<PathBuf>,
     /// Second part of the loopback addresses
     #[bpaf(argument("NETWORK"), fallback(30), display_fallback)]
     network: u8,
@@ -45,6 +51,9 @@
 ///
 /// Returns an error when a run cannot be carried out or a promise was broken.
 pub fn run(root: &Path, arguments: &Arguments) -> Result<(), Whatever> {
+    if let Some(file) = &arguments.judge {
+        return judge(file);
+    }
     cargo(root, &["build", "--workspace"], &[])?;
     let runtime = tokio::runtime::Runtime::new().whatever_context("no runtime")?;
     let mut failed = 0;
@@ -71,6 +80,15 @@
     Ok(())
 }
 
+/// Judges a kept history by every checker.
+fn judge(file: &Path) -> Result<(), Whatever> {
+    let events = check::read(file).whatever_context("the history cannot be read")?;
+    let violations = check::judge(&events);
+    print_violations(&violations);
+    ensure_whatever!(violations.is_empty(), "a promise was broken");
+    Ok(())
+}
+
 fn options(root: &Path, arguments: &Arguments, seed: u64) -> Result<Options, Whatever> {
     Ok(Options {
         snapshot: example(root, &arguments.inventory)?,
@@ -110,8 +128,12 @@
         runs.may_have_run,
         verdict.versions.accepted,
     );
-    println!("  {} violations", verdict.violations.len());
-    for violation in verdict.violations.iter().take(PRINTED) {
+    print_violations(&verdict.violations);
+}
+
+fn print_violations(violations: &[Violation]) {
+    println!("  {} violations", violations.len());
+    for violation in violations.iter().take(PRINTED) {
         println!("    {violation}");
     }
 }
