refactor(net): share the start of programs with a settings file

Cause: node and stand-ins each read command line, settings and signals in their own copy. Ruled out: a macro, which hides the flow of main. Conclusion: behaviour stays as it was.

--- a/crates/lentilshunt-net/src/lib.rs
+++ b/crates/lentilshunt-net/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`history`] | events for the checkers of test runs |
 //! | [`log`] | structured logs |
 //! | [`meter`] | metrics rendered as text |
+//! | [`start`] | command line, settings and signals of a program |
 
 pub mod call;
 pub mod history;
@@ -15,6 +16,7 @@
 pub mod log;
 pub mod meter;
 pub mod platform;
+pub mod start;
 
 use std::pin::Pin;
 
--- /dev/null
+++ b/crates/lentilshunt-net/src/start/program.rs
@@ -0,0 +1,68 @@
+//! Command line and settings of a program.
+
+use std::{fs, path::PathBuf, process::ExitCode};
+
+use bpaf::{OptionParser, Parser, construct, long, positional};
+use lentilshunt_schema::ini::{self, Problem, Problems};
+use serde::de::DeserializeOwned;
+
+/// Exit code when the settings are invalid.
+const INVALID_SETTINGS: u8 = 2;
+
+/// A program that is configured by one INI file.
+#[derive(Clone, Copy, Debug)]
+pub struct Program {
+    /// One line of help.
+    pub description: &'static str,
+    /// Name of the program's type in the schema of settings.
+    pub settings: &'static str,
+}
+
+#[derive(Clone, Debug)]
+struct Options {
+    check_settings: bool,
+    file: PathBuf,
+}
+
+impl Program {
+    /// Reads the command line and the settings that it names.
+    ///
+    /// # Errors
+    ///
+    /// Returns the code to exit with when the settings are invalid, which is
+    /// also printed, or when they were only to be checked.
+    pub fn settings<T: DeserializeOwned>(self) -> Result<T, ExitCode> {
+        let options = self.parser().run();
+        match self.read(&options.file) {
+            Ok(_settings) if options.check_settings => Err(ExitCode::SUCCESS),
+            Ok(settings) => Ok(settings),
+            Err(problems) => {
+                eprintln!("{problems}");
+                Err(ExitCode::from(INVALID_SETTINGS))
+            }
+        }
+    }
+
+    fn parser(self) -> OptionParser<Options> {
+        let check_settings = long("check-settings")
+            .help("Only checks the settings")
+            .switch();
+        let file = positional("SETTINGS").help("Settings file");
+        construct!(Options {
+            check_settings,
+            file
+        })
+        .to_options()
+        .descr(self.description)
+        .version(env!("CARGO_PKG_VERSION"))
+    }
+
+    fn read<T: DeserializeOwned>(self, file: &PathBuf) -> Result<T, Problems> {
+        let name = file.display().to_string();
+        let bytes = fs::read(file).map_err(|error| {
+            let message = format!("the file cannot be read: {error}");
+            Problems(vec![Problem::new(&name, message)])
+        })?;
+        ini::read(self.settings, &name, &bytes)
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-net/src/start/server.rs
@@ -0,0 +1,28 @@
+//! A program that only answers requests.
+
+use std::{process::ExitCode, sync::Arc};
+
+use tokio_util::sync::CancellationToken;
+
+use super::stop_on_signal;
+use crate::http::{Handler, Server, Stop};
+
+/// Answers requests at an address until a signal asks to stop, and returns the exit code.
+///
+/// # Panics
+///
+/// Panics when `address` is not an IP address and port; settings are checked.
+pub async fn serve(address: &str, handler: Arc<dyn Handler>) -> ExitCode {
+    let address = address.parse().expect("the settings are checked");
+    let server = match Server::bind(address, handler).await {
+        Ok(server) => server,
+        Err(error) => {
+            eprintln!("cannot listen on {address}: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let stop = CancellationToken::new();
+    tokio::spawn(stop_on_signal(stop.clone()));
+    server.run(Stop::at_once(stop)).await;
+    ExitCode::SUCCESS
+}
--- a/crates/lentilshunt-standin/src/bin/link.rs
+++ b/crates/lentilshunt-standin/src/bin/link.rs
@@ -2,37 +2,23 @@
 
 use std::{process::ExitCode, sync::Arc};
 
-use lentilshunt_net::http::{Server, Stop};
+use lentilshunt_net::start::{self, Program};
 use lentilshunt_schema::settings;
-use lentilshunt_standin::{link::Admin, start};
-use tokio_util::sync::CancellationToken;
+use lentilshunt_standin::link::Admin;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
+const PROGRAM: Program = Program {
+    description: "Relays TCP between failure domains with latency and cuts",
+    settings: "Link",
+};
+
 #[tokio::main]
 async fn main() -> ExitCode {
-    let options = start::options().run();
-    let settings: settings::Link = match start::settings("Link", &options) {
+    let settings: settings::Link = match PROGRAM.settings() {
         Ok(settings) => settings,
-        Err(problems) => {
-            eprintln!("{problems}");
-            return ExitCode::from(2);
-        }
-    };
-    if options.check_settings {
-        return ExitCode::SUCCESS;
-    }
-    let address = settings.listen.address.parse().expect("checked by schema");
-    let server = match Server::bind(address, Arc::new(Admin::default())).await {
-        Ok(server) => server,
-        Err(error) => {
-            eprintln!("cannot listen on {address}: {error}");
-            return ExitCode::FAILURE;
-        }
+        Err(code) => return code,
     };
-    let stop = CancellationToken::new();
-    tokio::spawn(start::stop_on_signal(stop.clone()));
-    server.run(Stop::at_once(stop)).await;
-    ExitCode::SUCCESS
+    start::serve(&settings.listen.address, Arc::new(Admin::default())).await
 }
--- a/crates/lentilshunt-standin/src/bin/upstream.rs
+++ b/crates/lentilshunt-standin/src/bin/upstream.rs
@@ -2,26 +2,25 @@
 
 use std::process::ExitCode;
 
+use lentilshunt_net::start::{self, Program};
 use lentilshunt_schema::settings;
-use lentilshunt_standin::{start, upstream};
+use lentilshunt_standin::upstream;
 use tokio_util::sync::CancellationToken;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
+const PROGRAM: Program = Program {
+    description: "Stands in for an upstream: slots, announcements, drain and crashes",
+    settings: "Upstream",
+};
+
 #[tokio::main]
 async fn main() -> ExitCode {
-    let options = start::options().run();
-    let settings: settings::Upstream = match start::settings("Upstream", &options) {
+    let settings: settings::Upstream = match PROGRAM.settings() {
         Ok(settings) => settings,
-        Err(problems) => {
-            eprintln!("{problems}");
-            return ExitCode::from(2);
-        }
+        Err(code) => return code,
     };
-    if options.check_settings {
-        return ExitCode::SUCCESS;
-    }
     let stop = CancellationToken::new();
     tokio::spawn(start::stop_on_signal(stop.clone()));
     match upstream::run(settings, stop).await {
--- a/crates/lentilshunt-standin/src/lib.rs
+++ b/crates/lentilshunt-standin/src/lib.rs
@@ -2,5 +2,4 @@
 
 pub mod link;
 pub mod platform;
-pub mod start;
 pub mod upstream;
