docs(operate): list every metric and check the page in the linter

Ruled out: a generated page, since the meaning is not in the code. After: cargo xtask lint fails when a metric of the node is missing from docs/operate/metrics.md.

--- a/crates/lentilshunt-node/src/control/mod.rs
+++ b/crates/lentilshunt-node/src/control/mod.rs
@@ -147,6 +147,7 @@
         self.version = version;
         self.snapshot = snapshot;
         self.publish();
+        metrics::gauge!("lentilshunt_version_in_force").set(as_gauge(version));
         info!(self.context.log, "version in force"; "version" => version);
         let mut event = event(Kind::Installed);
         event.version = Some(version);
@@ -166,6 +167,11 @@
     }
 }
 
+#[allow(clippy::cast_precision_loss, reason = "versions stay far below 2^52")]
+fn as_gauge(version: VersionId) -> f64 {
+    version as f64
+}
+
 /// Returns the address that a message names as its sender's.
 fn sender(event: &Event) -> Option<String> {
     match event {
--- a/xtask/src/lint.rs
+++ b/xtask/src/lint.rs
@@ -4,14 +4,15 @@
 
 use snafu::Whatever;
 
-use crate::cargo::cargo;
+use crate::{cargo::cargo, metrics};
 
-/// Runs the formatter, the linter and the documentation build, all strictly.
+/// Checks the page of metrics, the format, the lints and the documentation, all strictly.
 ///
 /// # Errors
 ///
 /// Returns an error for the first check that fails.
 pub fn run(root: &Path) -> Result<(), Whatever> {
+    metrics::check(root)?;
     cargo(root, &["fmt", "--all", "--check"], &[])?;
     let clippy = [
         "clippy",
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod example;
 mod lint;
+mod metrics;
 mod test;
 
 use std::{path::Path, process::ExitCode};
