perf(dissemination): let changed room wait longer in a larger scope

Cause: each change of free slots is a push of its own that passes every node of the failure domain, so control bytes under churn grew with the square of the domain and reached 5029 B/s a node at 144 nodes. Ruled out: gathering at the nodes on the way, which delays states as well. Domains of up to 7 nodes are unchanged.

--- a/crates/lentilshunt-core/src/dissemination/hybrid/spread.rs
+++ b/crates/lentilshunt-core/src/dissemination/hybrid/spread.rs
@@ -29,8 +29,10 @@
 const ALONE_DELAY: Duration = Duration::from_millis(250);
 /// Shortest time between two answers to pushes of one node.
 const ANSWER_INTERVAL: Duration = Duration::from_secs(1);
-/// Longest wait of a changed room for others.
+/// Longest wait of a changed room for others in a small scope.
 const ROOM_DELAY: Duration = Duration::from_secs(3);
+/// Time between two pushes of changed room in a scope, over all its nodes.
+const ROOM_SPACING: Duration = Duration::from_millis(500);
 
 /// Changes that wait to be pushed.
 #[derive(Debug, Default)]
@@ -62,7 +64,7 @@
     pub(super) fn push_later(&mut self, now: Instant, instance: &str, change: Change) {
         let delay = match change {
             Change::None => return,
-            Change::Room => ROOM_DELAY,
+            Change::Room => self.room_delay(),
             Change::State | Change::Base => STATE_DELAY,
         };
         self.queue(instance, change);
@@ -72,6 +74,15 @@
         }
     }
 
+    /// Returns the wait of a changed room, which grows with the scope.
+    ///
+    /// Every push passes every node, so that the pushes of a scope are what
+    /// each of its nodes has to carry.
+    fn room_delay(&self) -> Duration {
+        let nodes = u32::try_from(self.neighbours().count()).unwrap_or(u32::MAX);
+        ROOM_DELAY.max(ROOM_SPACING.saturating_mul(nodes))
+    }
+
     /// Pushes changes of state that wait at once.
     pub(super) fn push_now(&mut self, now: Instant) {
         let mut waiting = self.pending.changes.values();
