refactor(fake): divide the fake fleet by what it does

Cause: one file of 521 lines held the control of a fleet, its queue, its traffic and the sizes of messages. Ruled out: new types for the parts, which would pass the fleet around. Conclusion: behaviour stays.

--- /dev/null
+++ b/crates/lentilshunt-fake/src/fleet/mod.rs
@@ -0,0 +1,223 @@
+//! A fleet of nodes, its network and its platform.
+
+mod queue;
+mod size;
+mod step;
+mod traffic;
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    fmt,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use lentilshunt_core::{
+    dissemination::{Event, Strategy},
+    membership::{Announcement, Owner, Phase},
+};
+use rand::{SeedableRng, rngs::StdRng};
+
+use crate::{Cut, Layout, Node, Platform, Seat, Tally, delivery::Delivery};
+
+/// Longest wait for an answer of a node or the platform.
+const TIMEOUT: Duration = Duration::from_secs(1);
+/// Slots of every upstream.
+const SLOTS: u32 = 9;
+
+/// Builds the strategy of a starting node.
+pub type Factory = Box<dyn Fn(Owner, Vec<SocketAddr>, StdRng, Instant) -> Box<dyn Strategy>>;
+
+/// Nodes that exchange messages in virtual time.
+pub struct Fleet {
+    /// The nodes.
+    pub nodes: Vec<Node>,
+    /// The platform.
+    pub platform: Platform,
+    /// Directions that are cut.
+    pub cuts: Vec<Cut>,
+    /// Largest additional delay of a message; reorders messages.
+    pub delay: Duration,
+    /// Share of messages between nodes that arrive twice.
+    pub duplicated: f64,
+    /// Counts of traffic.
+    pub tally: Tally,
+    factory: Factory,
+    now: Instant,
+    start: Instant,
+    queue: BTreeMap<(Instant, u64), Delivery>,
+    queued: u64,
+    addresses: HashMap<SocketAddr, usize>,
+    random: StdRng,
+    seed: u64,
+}
+
+impl fmt::Debug for Fleet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Fleet")
+            .field("nodes", &self.nodes.len())
+            .field("elapsed", &self.elapsed())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Fleet {
+    /// Creates a fleet in which no node runs yet.
+    #[must_use]
+    pub fn new(layout: Layout, seed: u64, factory: Factory) -> Self {
+        let now = Instant::now();
+        let seats = layout.seats.iter().enumerate();
+        let addresses = seats.map(|(index, seat)| (seat.address, index)).collect();
+        Self {
+            nodes: layout.seats.into_iter().map(Node::new).collect(),
+            platform: Platform::default(),
+            cuts: Vec::new(),
+            delay: Duration::ZERO,
+            duplicated: 0.0,
+            tally: Tally::default(),
+            factory,
+            now,
+            start: now,
+            queue: BTreeMap::new(),
+            queued: 0,
+            addresses,
+            random: StdRng::seed_from_u64(seed),
+            seed,
+        }
+    }
+
+    /// Returns the virtual time.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        self.now
+    }
+
+    /// Returns the virtual time since the fleet was created.
+    #[must_use]
+    pub fn elapsed(&self) -> Duration {
+        self.now - self.start
+    }
+
+    /// Starts the process of a node, and its upstream half a second later at most.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is no such node.
+    pub fn start(&mut self, index: usize) {
+        let elapsed = u64::try_from(self.elapsed().as_micros()).expect("a short run");
+        let node = &mut self.nodes[index];
+        node.incarnation = (elapsed + 1).max(node.incarnation + 1);
+        node.paused = None;
+        node.version = 0;
+        node.view = std::sync::Arc::default();
+        let seat = node.seat.clone();
+        let owner = Owner::new(&seat.place, seat.address.to_string(), node.incarnation);
+        let seed = self.seed ^ (node.incarnation << 16) ^ index as u64;
+        let random = StdRng::seed_from_u64(seed);
+        node.strategy = Some((self.factory)(owner, seat.seeds, random, self.now));
+        self.handle(index, Event::Timer, None);
+        self.announce(index, Phase::Ready, 0);
+    }
+
+    /// Starts all nodes within a time.
+    pub fn start_all(&mut self, within: Duration) {
+        let from = self.now;
+        for index in 0..self.nodes.len() {
+            let share = u32::try_from(index).unwrap_or(u32::MAX);
+            let nodes = u32::try_from(self.nodes.len()).unwrap_or(u32::MAX);
+            self.run_until(from + within * share / nodes);
+            self.start(index);
+        }
+    }
+
+    /// Kills the process of a node.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is no such node.
+    pub fn kill(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        node.strategy = None;
+        node.paused = None;
+    }
+
+    /// Moves a killed node to another address.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is no such node.
+    pub fn relocate(&mut self, index: usize, address: SocketAddr) {
+        let seat = &mut self.nodes[index].seat;
+        self.addresses.remove(&seat.address);
+        seat.address = address;
+        self.addresses.insert(address, index);
+    }
+
+    /// Pauses the process of a node.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is no such node.
+    pub fn pause(&mut self, index: usize) {
+        self.nodes[index].paused = Some(Vec::new());
+    }
+
+    /// Wakes a paused process, which first takes what arrived meanwhile.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is no such node.
+    pub fn wake(&mut self, index: usize) {
+        let held = self.nodes[index].paused.take().unwrap_or_default();
+        self.handle(index, Event::Timer, None);
+        for delivery in held {
+            self.deliver(delivery);
+        }
+    }
+
+    /// Has the upstream of a node announce itself.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is no such node.
+    pub fn announce(&mut self, index: usize, phase: Phase, load: u32) {
+        let node = &mut self.nodes[index];
+        node.phase = phase;
+        let announcement = Announcement {
+            instance: node.seat.place.instance.clone(),
+            service: node.seat.service.clone(),
+            address: node.seat.address.to_string(),
+            incarnation: node.incarnation,
+            phase,
+            slots: SLOTS,
+            connections: SLOTS,
+            load,
+            healthy: true,
+        };
+        self.handle(index, Event::Announced(announcement), None);
+    }
+
+    /// Runs the fleet for a time.
+    pub fn run_for(&mut self, time: Duration) {
+        self.run_until(self.now + time);
+    }
+
+    /// Runs the fleet until an instant.
+    pub fn run_until(&mut self, until: Instant) {
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > until {
+                break;
+            }
+            let ((at, _), delivery) = entry.remove_entry();
+            self.now = at;
+            self.deliver(delivery);
+        }
+        self.now = self.now.max(until);
+    }
+
+    /// Returns the seats of the nodes that run.
+    pub fn running(&self) -> impl Iterator<Item = &Seat> {
+        let running = self.nodes.iter().filter(|node| node.is_up());
+        running.map(|node| &node.seat)
+    }
+}
