fix(drain): begin nothing on an upstream that has drained for 1.5 s

Ruled out: late news at other nodes, since nothing was sent there after the drain; a longer bound in the check. Before: drain_closes_before_claim_is_made and drain_closes_before_slot_is_free fail when the comparison is left out. After: they pass; such a request is not run and its claim is taken over elsewhere. Conclusion: the promise holds from the node beside the upstream alone.

--- a/crates/lentilshunt-node/src/executor/runner.rs
+++ b/crates/lentilshunt-node/src/executor/runner.rs
@@ -28,6 +28,10 @@
 /// Time for which an announcement counts.
 const ANNOUNCEMENT_LIFETIME: Duration = Duration::from_millis(1200);
 
+/// Time from the first announcement of a drain in which requests that were admitted
+/// before may begin.
+const CLOSING_TIME: Duration = Duration::from_millis(1500);
+
 /// Pause before a holder that runs its request is asked again, at first.
 const FIRST_PAUSE: Duration = Duration::from_millis(5);
 /// Longest pause before a holder is asked again.
@@ -68,12 +72,23 @@
         self.upstream.store(Some(Arc::new(Upstream {
             address,
             phase: announcement.phase,
+            closes_at: self.closes_at(announcement.phase),
             expires_at: now() + ANNOUNCEMENT_LIFETIME,
         })));
         let slots = announcement.slots.min(announcement.connections);
         self.gate.resize(slots);
     }
 
+    /// Returns when an upstream of a phase begins no further request.
+    fn closes_at(&self, phase: Phase) -> Option<Instant> {
+        if phase != Phase::Draining {
+            return None;
+        }
+        let before = self.upstream.load();
+        let closes_at = before.as_ref().and_then(|before| before.closes_at);
+        closes_at.or_else(|| Some(now() + CLOSING_TIME))
+    }
+
     pub(super) fn resolve(&self, request: &str, deadline: Instant) -> Resolution<Reply> {
         locked(&self.ledger).resolve(now(), request, deadline)
     }
@@ -210,10 +225,14 @@
         self.place(slot, deadline)
     }
 
-    /// Returns the upstream for a slot; it may be draining by now.
+    /// Returns the upstream for a slot; it may be draining by now, but not closed.
     fn place(&self, slot: Slot, deadline: Instant) -> Result<(Slot, Arc<Upstream>), Reason> {
         let upstream = self.alive()?;
-        if deadline <= now() {
+        let now = now();
+        if upstream.closes_at.is_some_and(|at| at <= now) {
+            return Err(Reason::Draining);
+        }
+        if deadline <= now {
             return Err(Reason::Deadline);
         }
         Ok((slot, upstream))
--- a/crates/lentilshunt-node/src/executor/upstream.rs
+++ b/crates/lentilshunt-node/src/executor/upstream.rs
@@ -11,6 +11,8 @@
     pub address: SocketAddr,
     /// Phase that it announced.
     pub phase: Phase,
+    /// Instant from which an upstream that drains begins no request; none before a drain.
+    pub closes_at: Option<Instant>,
     /// Instant after which the announcement no longer counts.
     pub expires_at: Instant,
 }
--- a/crates/lentilshunt-node/tests/executor/drain.rs
+++ b/crates/lentilshunt-node/tests/executor/drain.rs
@@ -6,7 +6,7 @@
 use lentilshunt_net::call::Reply;
 use tokio::time::sleep;
 
-use crate::fixture::{Fleet, Node, Run, call, not_run, now, ran, told};
+use crate::fixture::{Fault, Fleet, Node, Run, call, not_run, now, ran, told};
 
 const MILLISECOND: Duration = Duration::from_millis(1);
 
@@ -67,10 +67,43 @@
 async fn stop_while_claiming() {
     let fleet = Fleet::default();
     let node = fleet.start("a", 1);
-    let slow = crate::fixture::Fault::Slow(Duration::from_millis(200));
+    let slow = Fault::Slow(Duration::from_millis(200));
     fleet.platform.script([slow]);
     let claiming = node.spawn(call("r", Some("k")));
     sleep(MILLISECOND).await;
     node.stop.cancel();
     assert_eq!(told(&claiming.await.unwrap()), ran("r"));
 }
+
+#[tokio::test(start_paused = true)]
+async fn drain_closes_before_claim_is_made() {
+    let fleet = Fleet::default();
+    let node = fleet.start("a", 1);
+    fleet.platform.script([Fault::Slow(Duration::from_secs(2))]);
+    let claiming = node.spawn(call("r", Some("k")));
+    sleep(MILLISECOND).await;
+    node.announce(Phase::Draining, 2);
+    let refused = claiming.await.unwrap();
+    assert_eq!(told(&refused), not_run(Reason::Draining));
+    assert_eq!(node.runs(), Vec::<String>::new());
+    // The next attempt on another node takes the claim over.
+    let other = fleet.start("b", 1);
+    let again = other.execute(call("r", Some("k"))).await;
+    assert_eq!(told(&again), ran("r"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn drain_closes_before_slot_is_free() {
+    let node = Fleet::default().start("a", 1);
+    let slow = Run::Answer(Duration::from_secs(2));
+    node.upstream.script.lock().unwrap().extend([slow; 4]);
+    let calls = ["a", "b", "c", "d"].map(|id| node.spawn(call(id, None)));
+    sleep(MILLISECOND).await;
+    node.announce(Phase::Draining, 2);
+    let [a, b, c, d] = calls;
+    assert_eq!(told(&a.await.unwrap()), ran("a"));
+    assert_eq!(told(&b.await.unwrap()), ran("b"));
+    assert_eq!(told(&c.await.unwrap()), not_run(Reason::Draining));
+    assert_eq!(told(&d.await.unwrap()), not_run(Reason::Draining));
+    assert_eq!(node.runs(), ["a", "b"]);
+}
