fix(drain): close a draining upstream before its listener closes

Cause: an upstream that stops closes its listener 1.5 s after its notice, and announcements are 0.25 s apart, so that a request begun at 1.5 s could meet a connection that is being closed. Found by reading; not seen in a run. After: nothing begins later than 1 s after the drain was announced. Conclusion: the bound stays well under the promised 2 s.

--- a/crates/lentilshunt-node/src/executor/runner.rs
+++ b/crates/lentilshunt-node/src/executor/runner.rs
@@ -30,7 +30,7 @@
 
 /// Time from the first announcement of a drain in which requests that were admitted
 /// before may begin.
-const CLOSING_TIME: Duration = Duration::from_millis(1500);
+const CLOSING_TIME: Duration = Duration::from_secs(1);
 
 /// Pause before a holder that runs its request is asked again, at first.
 const FIRST_PAUSE: Duration = Duration::from_millis(5);
