refactor(node): ask other nodes by one function, name row prefixes once

Cause: the entry had a copy of the question that claims ask, and the operators' command had copies of the row prefixes of the core. Before and after: the same requests; tests of node and command pass. Conclusion: behaviour stays.

--- a/crates/lentilshunt-cli/src/fleet/registered.rs
+++ b/crates/lentilshunt-cli/src/fleet/registered.rs
@@ -1,15 +1,11 @@
 //! Nodes that the platform's table names.
 
+use lentilshunt_core::dissemination::{MEMBER_PREFIX, RENDEZVOUS_PREFIX};
 use lentilshunt_net::platform::Table;
 use lentilshunt_schema::peer::Record;
 
 use super::Node;
 
-/// Start of the keys of rows with one record each.
-const MEMBER_PREFIX: &str = "member/";
-/// Start of the keys of rows with some records of a failure domain.
-const RENDEZVOUS_PREFIX: &str = "rendezvous/";
-
 /// Returns the nodes that rows of the platform name, none when it does not answer.
 ///
 /// A row may be old, and the rows need not name every node.
--- a/crates/lentilshunt-core/src/dissemination/hybrid/mod.rs
+++ b/crates/lentilshunt-core/src/dissemination/hybrid/mod.rs
@@ -31,4 +31,5 @@
 mod way;
 
 pub use self::core::Hybrid;
+pub use watch::RENDEZVOUS_PREFIX;
 pub use way::Way;
--- a/crates/lentilshunt-core/src/dissemination/hybrid/watch.rs
+++ b/crates/lentilshunt-core/src/dissemination/hybrid/watch.rs
@@ -17,7 +17,7 @@
 };
 
 /// Start of the keys of rows with addresses of a failure domain.
-const RENDEZVOUS_PREFIX: &str = "rendezvous/";
+pub const RENDEZVOUS_PREFIX: &str = "rendezvous/";
 /// Role by which the watchers of a failure domain are chosen.
 const WATCHER_ROLE: &str = "watcher";
 /// Nodes of a failure domain that read the head.
--- a/crates/lentilshunt-core/src/dissemination/mod.rs
+++ b/crates/lentilshunt-core/src/dissemination/mod.rs
@@ -16,8 +16,8 @@
 
 pub use action::{Action, Question};
 pub use event::{Answer, Event};
-pub use hybrid::{Hybrid, Way};
+pub use hybrid::{Hybrid, RENDEZVOUS_PREFIX, Way};
 pub use link::{Link, REQUEST_OVERHEAD, RESPONSE_OVERHEAD};
-pub use poll::Poll;
+pub use poll::{MEMBER_PREFIX, Poll};
 pub use replica::Replica;
 pub use strategy::Strategy;
--- a/crates/lentilshunt-core/src/dissemination/poll.rs
+++ b/crates/lentilshunt-core/src/dissemination/poll.rs
@@ -17,7 +17,7 @@
 };
 
 /// Start of the keys of member rows.
-const MEMBER_PREFIX: &str = "member/";
+pub const MEMBER_PREFIX: &str = "member/";
 /// Time between two polls.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two writes of an unchanged own record.
--- a/crates/lentilshunt-node/src/entry/remote.rs
+++ b/crates/lentilshunt-node/src/entry/remote.rs
@@ -5,8 +5,6 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use hyper::{Method, Request, Uri};
 use lentilshunt_core::{membership::Endpoint, quarantine::fingerprint, verdict::Reason};
 use lentilshunt_net::{
     Pending,
@@ -16,7 +14,10 @@
 use lentilshunt_schema::call::{Resolution, Resolve};
 
 use super::notice::FINGERPRINT;
-use crate::{context::Context, peer::path};
+use crate::{
+    context::Context,
+    peer::{path, question::ask},
+};
 
 /// Longest wait for the answer to a resolution.
 const RESOLVE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -71,20 +72,9 @@
             // whether the node answers.
             bar: !call.idempotent,
         };
-        let body = rmp_serde::to_vec_named(&resolve).ok()?;
-        let mut request = Request::new(Bytes::from(body));
-        *request.method_mut() = Method::POST;
-        *request.uri_mut() = Uri::from_static(path::RESOLVE);
-        let exchange = Exchange {
-            address: endpoint.address,
-            deadline: Instant::now() + RESOLVE_TIMEOUT,
-            limit: self.limit(),
-        };
-        let answered = self.context.pool.exchange_fresh(exchange, request).await;
-        let response = answered.ok()?;
-        let resolution = response.headers().get(path::RESOLUTION)?.to_str().ok()?;
-        let resolution: Resolution = resolution.parse().ok()?;
-        Some((resolution, read_reply(response)))
+        let deadline = Instant::now() + RESOLVE_TIMEOUT;
+        let pool = &self.context.pool;
+        ask(pool, endpoint.address, &resolve, deadline, self.limit()).await
     }
 }
 
--- a/crates/lentilshunt-node/src/peer/question.rs
+++ b/crates/lentilshunt-node/src/peer/question.rs
@@ -12,7 +12,9 @@
 
 use super::path;
 
-/// Sends a question over a new connection and returns the resolution with the answer that came with it.
+/// Sends a question over a new connection and returns its resolution.
+///
+/// The reply comes with [`Resolution::Answered`] only.
 ///
 /// Returns none when the node does not answer by the deadline.
 pub async fn ask(
