fix(check): leave out of a planned stop what was cancelled before it

The check asked only whether a run had ended by the end. Ruled out: a longer wait; the runs were over. The check is as strict: a run cancelled from the begin of the stop on is still a violation, which the test now holds at 11 as well as 15, with the stop from 10 to 20. Conclusion: a false accusation of the checker.

--- a/crates/lentilshunt-load/src/check/stop.rs
+++ b/crates/lentilshunt-load/src/check/stop.rs
@@ -91,11 +91,8 @@
 /// Returns a violation for each run that was under way when a stop began and
 /// did not end, or whose caller did not get its answer.
 fn unfinished(history: &[Event], stops: &[Stop<'_>], faults: &Faults) -> Vec<Violation> {
-    let ended: BTreeSet<_> = history
-        .iter()
-        .filter(|event| event.kind == Kind::RunEnded)
-        .map(|event| (event.process.as_str(), event.request.as_deref()))
-        .collect();
+    let ended = run_ends(history, Kind::RunEnded);
+    let cancelled = run_ends(history, Kind::RunCancelled);
     let end_us = history.last().map_or(0, |event| event.at_us);
     let begun = history.iter().filter(|event| event.kind == Kind::RunBegun);
     let mut violations = Vec::new();
@@ -108,7 +105,10 @@
         let Some(stop) = stopped else {
             continue;
         };
-        let has_ended = ended.contains(&(run.process.as_str(), run.request.as_deref()));
+        let id = (run.process.as_str(), run.request.as_deref());
+        // A run that was cancelled before the stop began was not cut by it.
+        let was_cancelled = cancelled.get(&id).is_some_and(|at| *at < stop.begun_us);
+        let has_ended = ended.contains_key(&id) || was_cancelled;
         let until_us = stop.ended_us.min(end_us);
         if has_ended || faults.any_between(run.at_us, until_us) {
             continue;
@@ -125,6 +125,20 @@
     violations
 }
 
+/// Returns when each run ended in a way, by its upstream and request.
+fn run_ends(history: &[Event], kind: Kind) -> BTreeMap<(&str, Option<&str>), u64> {
+    history
+        .iter()
+        .filter(|event| event.kind == kind)
+        .map(|event| {
+            (
+                (event.process.as_str(), event.request.as_deref()),
+                event.at_us,
+            )
+        })
+        .collect()
+}
+
 /// Returns which attempt ran on the upstream of which instance.
 fn executed(history: &[Event]) -> BTreeSet<(&str, &str)> {
     history
--- a/crates/lentilshunt-load/tests/check.rs
+++ b/crates/lentilshunt-load/tests/check.rs
@@ -191,16 +191,18 @@
 
 #[test]
 fn judge_planned_stop_of_upstream() {
-    let history = |last| {
+    let history = |last_us, last| {
         broken(vec![
             run(6, "1", Kind::RunBegun),
             event(10, "upstream/a", Kind::Stopping),
-            run(15, "1", last),
+            run(last_us, "1", last),
             event(20, "upstream/a", Kind::Stopped),
         ])
     };
-    assert_eq!(history(Kind::RunEnded), []);
-    assert_eq!(history(Kind::RunCancelled), [Promise::PlannedStop]);
+    assert_eq!(history(15, Kind::RunEnded), []);
+    assert_eq!(history(8, Kind::RunCancelled), []);
+    assert_eq!(history(11, Kind::RunCancelled), [Promise::PlannedStop]);
+    assert_eq!(history(15, Kind::RunCancelled), [Promise::PlannedStop]);
 }
 
 #[test]
