test(dissemination): share the steps of two tests that kill and restart

Cause: two tests had the same twelve steps in their own copies. Conclusion: only the choice of the killed nodes is left in each.

--- a/crates/lentilshunt-core/tests/dissemination_failures.rs
+++ b/crates/lentilshunt-core/tests/dissemination_failures.rs
@@ -17,18 +17,16 @@
 /// Bound on the time in which a leaving upstream still gets new work.
 const DRAINED: Duration = Duration::from_secs(2);
 
-#[rstest]
-fn herd_third_killed(#[values(1, 2, 3)] seed: u64) {
-    let mut fleet = fleet(seed);
-    let killed: Vec<usize> = (0..18).filter(|index| index % 3 == 0).collect();
-    for index in &killed {
+/// Kills nodes, accepts a version without them, and restarts them.
+fn kill_and_restart(mut fleet: Fleet, killed: &[usize]) {
+    for index in killed {
         fleet.kill(*index);
     }
     accept(&mut fleet, 2);
     run_until_in_force(&mut fleet, IN_FORCE, 2);
     fleet.run_for(SETTLE);
     assert_true(&fleet);
-    for index in &killed {
+    for index in killed {
         fleet.start(*index);
     }
     run_until_in_force(&mut fleet, AFTER_FAULT, 2);
@@ -37,24 +35,17 @@
     assert_never_back(&fleet);
 }
 
+#[rstest]
+fn herd_third_killed(#[values(1, 2, 3)] seed: u64) {
+    let killed: Vec<usize> = (0..18).filter(|index| index % 3 == 0).collect();
+    kill_and_restart(fleet(seed), &killed);
+}
+
 #[rstest]
 fn domain_killed_and_restarted(#[values(1, 2, 3)] seed: u64) {
-    let mut fleet = fleet(seed);
+    let fleet = fleet(seed);
     let killed = members(&fleet, &domain(1, 0));
-    for index in &killed {
-        fleet.kill(*index);
-    }
-    accept(&mut fleet, 2);
-    run_until_in_force(&mut fleet, IN_FORCE, 2);
-    fleet.run_for(SETTLE);
-    assert_true(&fleet);
-    for index in &killed {
-        fleet.start(*index);
-    }
-    run_until_in_force(&mut fleet, AFTER_FAULT, 2);
-    fleet.run_for(SETTLE);
-    assert_true(&fleet);
-    assert_never_back(&fleet);
+    kill_and_restart(fleet, &killed);
 }
 
 #[test]
