--- a/crates/lentilshunt-core/src/admission/queue.rs
+++ b/crates/lentilshunt-core/src/admission/queue.rs
@@ -1,15 +1,17 @@
 //! Requests that wait for a slot.
 
-use std::{collections::BTreeMap, time::Instant};
+use std::collections::BTreeMap;
+
+use super::Turn;
 
 /// Place of a request in a [`Queue`].
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Ticket {
-    deadline: Instant,
+    turn: Turn,
     number: u64,
 }
 
-/// Waiting requests in the order of their deadlines, then of their arrival.
+/// Waiting requests in the order of their turns, then of their arrival.
 #[derive(Debug)]
 pub struct Queue<T> {
     waiting: BTreeMap<Ticket, T>,
@@ -40,11 +42,11 @@
         self.waiting.is_empty()
     }
 
-    /// Returns how many requests are served before one with this deadline.
+    /// Returns how many requests are served before one with this turn.
     #[must_use]
-    pub fn ahead_of(&self, deadline: Instant) -> usize {
+    pub fn ahead_of(&self, turn: Turn) -> usize {
         let behind = Ticket {
-            deadline,
+            turn,
             number: u64::MAX,
         };
         self.waiting.range(..behind).count()
@@ -57,17 +59,17 @@
     }
 
     /// Adds a request, also to a full queue.
-    pub fn push(&mut self, deadline: Instant, request: T) -> Ticket {
+    pub fn push(&mut self, turn: Turn, request: T) -> Ticket {
         self.number += 1;
         let ticket = Ticket {
-            deadline,
+            turn,
             number: self.number,
         };
         self.waiting.insert(ticket, request);
         ticket
     }
 
-    /// Takes the request with the earliest deadline.
+    /// Takes the request whose turn is first.
     pub fn pop(&mut self) -> Option<T> {
         self.waiting.pop_first().map(|(_, request)| request)
     }
--- /dev/null
+++ b/crates/lentilshunt-core/src/admission/turn.rs
@@ -0,0 +1,22 @@
+//! When a waiting request is served.
+
+use std::time::Instant;
+
+/// Order of a request among those that wait for a slot.
+///
+/// Requests are served by rank, then by deadline.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Turn {
+    /// Rank of the request; 0 is served first.
+    pub rank: u8,
+    /// Instant by which the request must be answered.
+    pub deadline: Instant,
+}
+
+impl Turn {
+    /// Creates the turn of a request of the highest rank.
+    #[must_use]
+    pub fn by(deadline: Instant) -> Self {
+        Self { rank: 0, deadline }
+    }
+}
--- a/crates/lentilshunt-core/src/lib.rs
+++ b/crates/lentilshunt-core/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`admission`] | which requests an upstream takes, and in which order |
 //! | [`execution`] | what became of each request on the executing node |
 //! | [`claim`] | whether a repeated non-idempotent request has run already |
+//! | [`traffic`] | which service answers a request, and within which limits |
 //! | [`verdict`] | whether a request may have run, and why it was refused |
 
 pub mod admission;
@@ -30,4 +31,5 @@
 pub mod quarantine;
 pub mod retry;
 pub mod routing;
+pub mod traffic;
 pub mod verdict;
--- a/crates/lentilshunt-core/src/retry/mod.rs
+++ b/crates/lentilshunt-core/src/retry/mod.rs
@@ -3,7 +3,9 @@
 mod budget;
 mod budgets;
 mod decision;
+mod share;
 
 pub use budget::Budget;
 pub use budgets::Budgets;
 pub use decision::{Decision, MAX_ATTEMPTS, decide};
+pub use share::{Allowance, Share};
--- /dev/null
+++ b/crates/lentilshunt-core/src/traffic/rules.rs
@@ -0,0 +1,111 @@
+//! One version of the traffic rules.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+};
+
+use snafu::ensure;
+
+use super::{
+    Limits, Problem, Route,
+    problem::{NoHostSnafu, PrefixSnafu, RepeatedSnafu, UnknownServiceSnafu, WeightlessSnafu},
+};
+use crate::id::{ServiceId, VersionId};
+
+/// Routes by host and prefix, and the limits of callers.
+#[derive(Clone, Debug, Default)]
+pub struct Rules {
+    version: VersionId,
+    limits: Limits,
+    services: BTreeSet<ServiceId>,
+    hosts: HashMap<String, HashMap<String, Arc<Route>>>,
+}
+
+impl Rules {
+    /// Creates a version without routes.
+    #[must_use]
+    pub fn new(version: VersionId, limits: Limits, services: BTreeSet<ServiceId>) -> Self {
+        Self {
+            version,
+            limits,
+            services,
+            hosts: HashMap::new(),
+        }
+    }
+
+    /// Adds the route of a host and a path prefix.
+    ///
+    /// # Errors
+    ///
+    /// Returns a problem when the route cannot belong to this version.
+    pub fn insert(&mut self, host: &str, prefix: &str, route: Route) -> Result<(), Problem> {
+        let name = &route.name;
+        ensure!(!host.is_empty(), NoHostSnafu { route: name });
+        let is_path = prefix.starts_with('/') && prefix.ends_with('/');
+        ensure!(
+            is_path,
+            PrefixSnafu {
+                route: name,
+                prefix
+            }
+        );
+        for part in route.split.parts() {
+            let service = &*part.service;
+            ensure!(
+                self.services.contains(service),
+                UnknownServiceSnafu {
+                    route: name,
+                    service
+                }
+            );
+        }
+        let is_weighted = route.split.parts().iter().any(|part| part.weight > 0);
+        ensure!(is_weighted, WeightlessSnafu { route: name });
+        let routes = self.hosts.entry(host.to_ascii_lowercase()).or_default();
+        ensure!(
+            !routes.contains_key(prefix),
+            RepeatedSnafu {
+                route: name,
+                host,
+                prefix
+            }
+        );
+        routes.insert(prefix.to_owned(), Arc::new(route));
+        Ok(())
+    }
+
+    /// Returns the number of the version; 0 before the first.
+    #[must_use]
+    pub fn version(&self) -> VersionId {
+        self.version
+    }
+
+    /// Returns the limits of callers.
+    #[must_use]
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// Returns whether the version lists a service.
+    #[must_use]
+    pub fn has_service(&self, service: &str) -> bool {
+        self.services.contains(service)
+    }
+
+    /// Returns the route with the longest prefix that begins a path.
+    ///
+    /// `host` may carry a port, which is ignored.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.split_once(':').map_or(host, |(name, _port)| name);
+        let routes = match self.hosts.get(name) {
+            Some(routes) => routes,
+            None => self.hosts.get(&name.to_ascii_lowercase())?,
+        };
+        let slashes = path.rmatch_indices('/');
+        slashes
+            .map(|(index, _)| &path[..=index])
+            .find_map(|prefix| routes.get(prefix))
+    }
+}
--- a/crates/lentilshunt-core/tests/admission.rs
+++ b/crates/lentilshunt-core/tests/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use lentilshunt_core::admission::{Estimate, Queue, Slots};
+use lentilshunt_core::admission::{Estimate, Queue, Slots, Turn};
 
 const MILLISECOND: Duration = Duration::from_millis(1);
 
@@ -10,19 +10,32 @@
 fn queue_by_deadline_then_arrival() {
     let now = Instant::now();
     let mut queue = Queue::new(3);
-    let late = queue.push(now + MILLISECOND * 9, "late");
-    let _first = queue.push(now + MILLISECOND * 5, "first");
+    let late = queue.push(Turn::by(now + MILLISECOND * 9), "late");
+    let _first = queue.push(Turn::by(now + MILLISECOND * 5), "first");
     assert!(!queue.is_full());
-    let _second = queue.push(now + MILLISECOND * 5, "second");
+    let _second = queue.push(Turn::by(now + MILLISECOND * 5), "second");
     assert!(queue.is_full());
-    assert_eq!(queue.ahead_of(now + MILLISECOND * 5), 2);
-    assert_eq!(queue.ahead_of(now), 0);
+    assert_eq!(queue.ahead_of(Turn::by(now + MILLISECOND * 5)), 2);
+    assert_eq!(queue.ahead_of(Turn::by(now)), 0);
     assert_eq!(queue.remove(late), Some("late"));
     assert_eq!(queue.remove(late), None);
     let order = [queue.pop(), queue.pop(), queue.pop()];
     assert_eq!(order, [Some("first"), Some("second"), None]);
 }
 
+#[test]
+fn queue_by_rank_before_deadline() {
+    let now = Instant::now();
+    let mut queue = Queue::new(3);
+    let turn = |rank, deadline| Turn { rank, deadline };
+    queue.push(turn(2, now), "bulk");
+    queue.push(turn(0, now + MILLISECOND * 9), "urgent");
+    queue.push(turn(1, now + MILLISECOND), "usual");
+    assert_eq!(queue.ahead_of(turn(1, now)), 1);
+    let order = [queue.pop(), queue.pop(), queue.pop()];
+    assert_eq!(order, [Some("urgent"), Some("usual"), Some("bulk")]);
+}
+
 #[test]
 fn slots_up_to_limit() {
     let slots = Slots::default();
--- /dev/null
+++ b/crates/lentilshunt-core/tests/traffic.rs
@@ -0,0 +1,101 @@
+//! Tests of the match of requests with routes, and of shares by weight.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use lentilshunt_core::traffic::{Limits, Part, Problem, Route, Rules, Split};
+use rstest::rstest;
+
+fn part(service: &str, weight: u32) -> Part {
+    Part {
+        service: service.into(),
+        weight,
+    }
+}
+
+fn route(name: &str, service: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        idempotent: true,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(500),
+        rank: 0,
+        max_attempts: 2,
+        split: Split::new(vec![part(service, 1)], 0).expect("a weight"),
+    }
+}
+
+fn rules() -> Rules {
+    let services = BTreeSet::from(["bales".to_owned()]);
+    Rules::new(3, Limits::default(), services)
+}
+
+#[rstest]
+#[case("yard.example", "/a/b/c?x=/q", Some("deep"))]
+#[case("YARD.example:8080", "/a/b/", Some("deep"))]
+#[case("yard.example", "/a/b", Some("shallow"))]
+#[case("yard.example", "/a", None)]
+#[case("yard.example", "/ab/c", None)]
+#[case("port.example", "/a/b/c", None)]
+fn find_longest_prefix(#[case] host: &str, #[case] path: &str, #[case] found: Option<&str>) {
+    let mut rules = rules();
+    let insert = |rules: &mut Rules, prefix, name| {
+        rules.insert("yard.example", prefix, route(name, "bales"))
+    };
+    assert_eq!(insert(&mut rules, "/a/", "shallow"), Ok(()));
+    assert_eq!(insert(&mut rules, "/a/b/", "deep"), Ok(()));
+    let path = path.split('?').next().unwrap_or_default();
+    let name = rules.find(host, path).map(|route| route.name.as_str());
+    assert_eq!(name, found);
+}
+
+#[test]
+fn insert_unknown_service() {
+    let problem = rules().insert("yard.example", "/a/", route("r", "tickets"));
+    let expected = Problem::UnknownService {
+        route: "r".to_owned(),
+        service: "tickets".to_owned(),
+    };
+    assert_eq!(problem, Err(expected));
+}
+
+#[rstest]
+#[case("", "/a/", "route \"r\" has no host")]
+#[case(
+    "h",
+    "a/",
+    "prefix \"a/\" of route \"r\" does not begin and end with a slash"
+)]
+fn insert_malformed(#[case] host: &str, #[case] prefix: &str, #[case] message: &str) {
+    let problem = rules().insert(host, prefix, route("r", "bales"));
+    assert_eq!(problem.expect_err("a problem").to_string(), message);
+}
+
+#[test]
+fn insert_repeated() {
+    let mut rules = rules();
+    assert_eq!(rules.insert("h", "/a/", route("one", "bales")), Ok(()));
+    let problem = rules.insert("H", "/a/", route("two", "bales"));
+    let message = "route \"two\" repeats host \"H\" and prefix \"/a/\"";
+    assert_eq!(problem.expect_err("a problem").to_string(), message);
+}
+
+#[rstest]
+#[case(90, 10, 0)]
+#[case(1, 2, 1)]
+#[case(50, 50, 77)]
+fn split_exact_shares(#[case] left: u32, #[case] right: u32, #[case] phase: u64) {
+    let split = Split::new(vec![part("left", left), part("right", right)], phase).expect("weights");
+    let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
+    for _ in 0..(left + right) {
+        *counts.entry(split.next()).or_default() += 1;
+    }
+    assert_eq!(counts, BTreeMap::from([("left", left), ("right", right)]));
+}
+
+#[test]
+fn split_without_weight() {
+    assert!(Split::new(vec![part("left", 0)], 0).is_none());
+}
--- a/crates/lentilshunt-net/src/log/mod.rs
+++ b/crates/lentilshunt-net/src/log/mod.rs
@@ -1,6 +1,6 @@
-//! Structured logs on the standard error stream.
+//! Structured logs on a standard stream.
 
-use std::sync::Mutex;
+use std::{io::Write, sync::Mutex};
 
 use lentilshunt_schema::settings::{Log, LogFormat, LogLevel};
 use slog::{Drain, Level, Logger, o};
@@ -8,11 +8,22 @@
 /// Log lines that wait to be written before further ones are dropped.
 const QUEUE_LINES: usize = 4096;
 
-/// Creates a logger whose lines carry the name of the process.
+/// Creates a logger to the standard error stream whose lines carry the name of the process.
 pub fn logger(settings: &Log, process: &str) -> Logger {
+    logger_to(std::io::stderr(), settings, process)
+}
+
+/// Creates a logger to a stream whose lines carry the name of the process.
+///
+/// Lines are written by a thread of their own. Those that find its queue full
+/// are dropped and counted, so that no caller waits for the stream.
+pub fn logger_to(
+    stream: impl Write + Send + 'static,
+    settings: &Log,
+    process: &str,
+) -> Logger {
     let level = level(settings.level);
     let process = process.to_owned();
-    let stream = std::io::stderr();
     let drain: Box<dyn Drain<Ok = (), Err = slog::Never> + Send> = match settings.format {
         LogFormat::Json => {
             let json = slog_json::Json::default(stream);
--- a/crates/lentilshunt-node/src/executor/gate.rs
+++ b/crates/lentilshunt-node/src/executor/gate.rs
@@ -9,7 +9,7 @@
 };
 
 use lentilshunt_core::{
-    admission::{Estimate, Queue, Slots, Ticket},
+    admission::{Estimate, Queue, Slots, Ticket, Turn},
     verdict::Reason,
 };
 use tokio::{sync::oneshot, time::timeout_at};
@@ -18,7 +18,7 @@
 
 /// Slots of the upstream and the requests that wait for them.
 #[derive(Debug)]
-pub(super) struct Gate {
+pub(crate) struct Gate {
     slots: Slots,
     estimate: Estimate,
     /// Length of the queue, readable without its lock.
@@ -28,7 +28,7 @@
 
 /// A taken slot; it is given back when it is dropped.
 #[derive(Debug)]
-pub(super) struct Slot {
+pub(crate) struct Slot {
     gate: Arc<Gate>,
 }
 
@@ -40,7 +40,7 @@
 
 impl Gate {
     /// Creates a gate without slots.
-    pub(super) fn new(capacity: u32) -> Self {
+    pub(crate) fn new(capacity: u32) -> Self {
         Self {
             slots: Slots::default(),
             estimate: Estimate::default(),
@@ -50,19 +50,19 @@
     }
 
     /// Sets how many requests run at a time.
-    pub(super) fn resize(self: &Arc<Self>, limit: u32) {
+    pub(crate) fn resize(self: &Arc<Self>, limit: u32) {
         self.slots.resize(limit);
         self.serve();
     }
 
     /// Returns the free slots that no request waits for.
-    pub(super) fn room(&self) -> u32 {
+    pub(crate) fn room(&self) -> u32 {
         let waiting = self.waiting.load(Ordering::SeqCst);
         self.slots.free().saturating_sub(waiting)
     }
 
     /// Takes the run time of an answered request.
-    pub(super) fn observe(&self, started_at: Instant) {
+    pub(crate) fn observe(&self, started_at: Instant) {
         self.estimate.observe(now() - started_at);
     }
 
@@ -71,11 +71,11 @@
     /// # Errors
     ///
     /// Returns [`Reason::QueueFull`] or [`Reason::Deadline`].
-    pub(super) fn check(&self, deadline: Instant) -> Result<(), Reason> {
+    pub(crate) fn check(&self, turn: Turn) -> Result<(), Reason> {
         if self.room() > 0 {
             return Ok(());
         }
-        self.look(&locked(&self.queue), deadline)
+        self.look(&locked(&self.queue), turn)
     }
 
     /// Waits for a slot as [`Gate::check`] allows.
@@ -83,12 +83,12 @@
     /// # Errors
     ///
     /// Returns the errors of [`Gate::check`] and [`Gate::enter`].
-    pub(super) async fn check_and_enter(
+    pub(crate) async fn check_and_enter(
         self: &Arc<Self>,
-        deadline: Instant,
+        turn: Turn,
     ) -> Result<Slot, Reason> {
-        self.check(deadline)?;
-        self.enter(deadline).await
+        self.check(turn)?;
+        self.enter(turn).await
     }
 
     /// Waits for a slot, also in a full queue; dropping the future leaves the queue.
@@ -96,34 +96,34 @@
     /// # Errors
     ///
     /// Returns [`Reason::Deadline`] when the deadline passes.
-    pub(super) async fn enter(self: &Arc<Self>, deadline: Instant) -> Result<Slot, Reason> {
+    pub(crate) async fn enter(self: &Arc<Self>, turn: Turn) -> Result<Slot, Reason> {
         if self.waiting.load(Ordering::SeqCst) == 0
             && let Some(slot) = self.take()
         {
             return Ok(slot);
         }
         let (sender, granted) = oneshot::channel();
-        let ticket = self.wait(deadline, sender);
+        let ticket = self.wait(turn, sender);
         let _place = Place { gate: self, ticket };
         // A slot may have come free between the first look and the wait.
         self.serve();
-        match timeout_at(deadline.into(), granted).await {
+        match timeout_at(turn.deadline.into(), granted).await {
             Ok(Ok(slot)) => Ok(slot),
             Ok(Err(_)) | Err(_) => Err(Reason::Deadline),
         }
     }
 
-    fn wait(&self, deadline: Instant, sender: oneshot::Sender<Slot>) -> Ticket {
+    fn wait(&self, turn: Turn, sender: oneshot::Sender<Slot>) -> Ticket {
         let mut queue = locked(&self.queue);
-        let ticket = queue.push(deadline, sender);
+        let ticket = queue.push(turn, sender);
         self.waiting.fetch_add(1, Ordering::SeqCst);
         ticket
     }
 
-    fn look(&self, queue: &Queue<oneshot::Sender<Slot>>, deadline: Instant) -> Result<(), Reason> {
-        let ahead = u32::try_from(queue.ahead_of(deadline)).unwrap_or(u32::MAX);
+    fn look(&self, queue: &Queue<oneshot::Sender<Slot>>, turn: Turn) -> Result<(), Reason> {
+        let ahead = u32::try_from(queue.ahead_of(turn)).unwrap_or(u32::MAX);
         let answered_at = self.estimate.answered_at(now(), ahead, self.slots.limit());
-        if answered_at > deadline {
+        if answered_at > turn.deadline {
             return Err(Reason::Deadline);
         }
         if queue.is_full() {
--- a/crates/lentilshunt-node/src/executor/mod.rs
+++ b/crates/lentilshunt-node/src/executor/mod.rs
@@ -19,6 +19,7 @@
 pub use local::Local;
 pub(crate) use local::split;
 pub use pooled::Pooled;
+pub(crate) use gate::Gate;
 use runner::Runner;
 pub use upstream::Upstream;
 
--- a/crates/lentilshunt-node/src/executor/runner.rs
+++ b/crates/lentilshunt-node/src/executor/runner.rs
@@ -7,6 +7,7 @@
 
 use arc_swap::ArcSwapOption;
 use lentilshunt_core::{
+    admission::Turn,
     claim::{Bid, Holder, Settlement, Step, judge},
     execution::{Ledger, Limits, Resolution},
     id::IdempotencyKey,
@@ -148,7 +149,7 @@
             return self.admit(deadline).await.map_err(Reply::refused);
         };
         self.ready().map_err(Reply::refused)?;
-        self.gate.check(deadline).map_err(Reply::refused)?;
+        self.gate.check(Turn::by(deadline)).map_err(Reply::refused)?;
         self.claim(call, key, attempt).await?;
         self.enter(deadline).await.map_err(Reply::refused)
     }
@@ -215,13 +216,13 @@
 
     async fn admit(&self, deadline: Instant) -> Result<(Slot, Arc<Upstream>), Reason> {
         self.ready()?;
-        let slot = self.gate.check_and_enter(deadline).await?;
+        let slot = self.gate.check_and_enter(Turn::by(deadline)).await?;
         self.place(slot, deadline)
     }
 
     /// Waits for a slot with a claim, which is not given up for a full queue.
     async fn enter(&self, deadline: Instant) -> Result<(Slot, Arc<Upstream>), Reason> {
-        let slot = self.gate.enter(deadline).await?;
+        let slot = self.gate.enter(Turn::by(deadline)).await?;
         self.place(slot, deadline)
     }
 
--- /dev/null
+++ b/crates/lentilshunt-node/src/fleet/follow.rs
@@ -0,0 +1,129 @@
+//! Follows a table of the store.
+
+use std::time::Duration;
+
+use lentilshunt_core::id::VersionId;
+use rand::RngExt;
+use slog::{Logger, info, warn};
+use tokio::{sync::watch, time::sleep};
+
+use super::{Change, Error, Rows};
+
+/// Longest wait of one call for changes.
+///
+/// The store may forget a waiting call in an outage; the next one finds what changed.
+const WAIT: Duration = Duration::from_secs(6);
+/// First pause after the store did not answer.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after the store did not answer.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// What [`follow`] follows, and how often it asks.
+#[derive(Clone, Copy, Debug)]
+pub struct Subject<'a> {
+    /// Name of the table.
+    pub table: &'a str,
+    /// Pause after changes, in which further ones gather.
+    pub gather: Duration,
+}
+
+/// What was read of a table.
+#[derive(Debug)]
+pub enum News {
+    /// All rows; others no longer exist.
+    All(Vec<Change>),
+    /// Rows that changed.
+    Some(Vec<Change>),
+}
+
+/// Reads a table and then its changes, and passes them on until the runtime ends.
+///
+/// When another node has a version above `held`, the table is read again at
+/// once, as this node may have been left out.
+pub async fn follow(
+    rows: &dyn Rows,
+    subject: Subject<'_>,
+    mut newest: Option<watch::Receiver<VersionId>>,
+    log: &Logger,
+    mut take: impl FnMut(News) -> VersionId,
+) {
+    let table = subject.table;
+    let mut pause = FIRST_PAUSE;
+    let mut available = true;
+    loop {
+        let page = match rows.read(table).await {
+            Ok(page) => page,
+            Err(error) => {
+                note(log, table, &mut available, Some(&error));
+                sleep(jittered(pause)).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+                continue;
+            }
+        };
+        note(log, table, &mut available, None);
+        pause = FIRST_PAUSE;
+        let all = page.rows.into_iter().map(|row| Change {
+            key: row.key,
+            value: Some(row.value),
+        });
+        let mut held = take(News::All(all.collect()));
+        let mut revision = page.revision;
+        loop {
+            let waited = tokio::select! {
+                waited = rows.wait(table, revision, WAIT) => waited,
+                () = overtaken(&mut newest, held) => break,
+            };
+            match waited {
+                Ok(changes) => {
+                    note(log, table, &mut available, None);
+                    pause = FIRST_PAUSE;
+                    revision = changes.revision;
+                    if !changes.changes.is_empty() {
+                        held = take(News::Some(changes.changes));
+                        sleep(jittered(subject.gather)).await;
+                    }
+                }
+                Err(Error::Forgotten { revision }) => {
+                    info!(log, "history of the store is gone, reading the table again";
+                        "table" => table, "revision" => revision);
+                    break;
+                }
+                Err(error) => {
+                    note(log, table, &mut available, Some(&error));
+                    sleep(jittered(pause)).await;
+                    pause = (pause * 2).min(LONGEST_PAUSE);
+                }
+            }
+        }
+        // Many nodes may have been overtaken at the same time.
+        sleep(jittered(FIRST_PAUSE)).await;
+    }
+}
+
+/// Waits until another node has a version above the held one.
+async fn overtaken(newest: &mut Option<watch::Receiver<VersionId>>, held: VersionId) {
+    if let Some(newest) = newest
+        && newest.wait_for(|version| *version > held).await.is_ok()
+    {
+        return;
+    }
+    std::future::pending().await
+}
+
+/// Logs that the store was lost or is back.
+fn note(log: &Logger, table: &str, available: &mut bool, error: Option<&Error>) {
+    match error {
+        Some(error) if *available => {
+            warn!(log, "store lost"; "table" => table, "error" => %error);
+            metrics::counter!("lentilshunt_store_lost_total").increment(1);
+        }
+        None if !*available => info!(log, "store regained"; "table" => table),
+        _ => {}
+    }
+    *available = error.is_none();
+}
+
+/// Returns between half and one and a half times a pause.
+fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(0.5..1.5))
+}
--- /dev/null
+++ b/crates/lentilshunt-node/src/fleet/health.rs
@@ -0,0 +1,41 @@
+//! Tells whether the node takes work.
+
+use std::sync::Arc;
+
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use lentilshunt_net::Pending;
+use tokio_util::sync::CancellationToken;
+
+use crate::relay::{
+    Handler, Shared,
+    body::{Body, empty},
+};
+
+/// Handler of the listener for readiness.
+#[derive(Debug)]
+pub struct Health {
+    shared: Arc<Shared>,
+    stop: CancellationToken,
+}
+
+impl Health {
+    /// Creates the handler; a node that stops is not ready.
+    #[must_use]
+    pub fn new(shared: Arc<Shared>, stop: CancellationToken) -> Self {
+        Self { shared, stop }
+    }
+
+    fn is_ready(&self) -> bool {
+        self.shared.version() > 0 && !self.stop.is_cancelled()
+    }
+}
+
+impl Handler for Health {
+    fn handle(&self, _request: Request<Incoming>) -> Pending<'_, Response<Body>> {
+        let mut response = Response::new(empty());
+        if !self.is_ready() {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        Box::pin(std::future::ready(response))
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-node/src/fleet/metrics.rs
@@ -0,0 +1,27 @@
+//! Serves counters and histograms.
+
+use std::fmt;
+
+use hyper::{Request, Response, body::Incoming};
+use lentilshunt_net::Pending;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::relay::{
+    Handler,
+    body::{Body, whole},
+};
+
+/// Handler of the listener for metrics.
+pub(super) struct Metrics(pub(super) PrometheusHandle);
+
+impl Handler for Metrics {
+    fn handle(&self, _request: Request<Incoming>) -> Pending<'_, Response<Body>> {
+        Box::pin(std::future::ready(Response::new(whole(self.0.render()))))
+    }
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-node/src/fleet/mod.rs
@@ -0,0 +1,30 @@
+//! Meets other nodes and takes the traffic rules through a store of rows.
+//!
+//! | module | does |
+//! |---|---|
+//! | [`Rows`] | the border to the store |
+//! | [`Translator`] | the border to the formats of a deployment |
+//! | [`run`] | starts the parts of a relaying node, and stops them gracefully |
+
+mod directory;
+mod follow;
+mod health;
+mod metrics;
+mod publisher;
+mod report;
+mod rows;
+mod rules;
+mod shell;
+mod site;
+mod translator;
+
+pub use directory::Book;
+pub use follow::{News, Subject, follow};
+pub use health::Health;
+pub use publisher::Publisher;
+pub use report::Reports;
+pub use rows::{Change, Changes, Error, Page, Row, Rows};
+pub use rules::Installer;
+pub use shell::run;
+pub use site::{Listen, Site};
+pub use translator::{Translator, Unreadable};
--- /dev/null
+++ b/crates/lentilshunt-node/src/fleet/publisher.rs
@@ -0,0 +1,79 @@
+//! Writes the record of the own node into the store.
+
+use std::{sync::Arc, time::Duration};
+
+use lentilshunt_core::membership::{Phase, Record};
+use slog::{Logger, info, warn};
+use tokio::{sync::watch, time::sleep};
+
+use super::Rows;
+
+/// First pause after a write that was not confirmed.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after a write that was not confirmed.
+///
+/// A record that lapsed in an outage is back within two seconds of its end.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Keeps the row of the own node as its record is.
+#[derive(Debug)]
+pub struct Publisher {
+    rows: Arc<dyn Rows>,
+    table: String,
+    log: Logger,
+}
+
+impl Publisher {
+    /// Creates a publisher into a table of the store.
+    #[must_use]
+    pub fn new(rows: Arc<dyn Rows>, table: String, log: Logger) -> Self {
+        Self { rows, table, log }
+    }
+
+    /// Writes each new record until all senders of records are gone.
+    ///
+    /// The row of a gone upstream is removed. A write that is not confirmed is
+    /// repeated with the record of then.
+    pub async fn run(self, mut records: watch::Receiver<Option<Record>>) {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let record = records.borrow_and_update().clone();
+            if let Some(record) = record {
+                match self.write(&record).await {
+                    Ok(()) => pause = FIRST_PAUSE,
+                    Err(()) => {
+                        sleep(pause).await;
+                        pause = (pause * 2).min(LONGEST_PAUSE);
+                        records.mark_changed();
+                        continue;
+                    }
+                }
+            }
+            if records.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn write(&self, record: &Record) -> Result<(), ()> {
+        let value = (record.phase != Phase::Gone).then(|| rmp_serde::to_vec_named(record));
+        let value = match value.transpose() {
+            Ok(value) => value.map(Into::into),
+            Err(error) => {
+                warn!(self.log, "own record cannot be encoded"; "error" => %error);
+                return Ok(());
+            }
+        };
+        match self.rows.write(&self.table, &record.instance, value).await {
+            Ok(()) => {
+                info!(self.log, "own record written"; "phase" => %record.phase,
+                    "sequence" => record.sequence);
+                Ok(())
+            }
+            Err(error) => {
+                warn!(self.log, "own record not confirmed"; "error" => %error);
+                Err(())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-node/src/fleet/shell.rs
@@ -0,0 +1,201 @@
+//! Starts the parts of a relaying node, and stops them gracefully.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwap;
+use lentilshunt_core::{
+    membership::Owner,
+    quarantine::Suspects,
+    traffic::{Limits, Rules},
+};
+use lentilshunt_net::{http::Stop, meter};
+use slog::{Logger, info, warn};
+use tokio::{
+    sync::watch,
+    task::JoinHandle,
+    time::{sleep, timeout_at},
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    Book, Health, Installer, Publisher, Reports, Rows, Site, Translator,
+    follow::{Subject, follow},
+    metrics::Metrics,
+};
+use crate::relay::{
+    Allowance, Directory, Dispatcher, Entry, Executor, Handler, Inbound, Server, Shared,
+};
+
+/// Pause after a version in which further ones gather.
+const GATHER_RULES: Duration = Duration::from_millis(300);
+/// Pause after changed records in which further ones gather.
+const GATHER_RECORDS: Duration = Duration::from_millis(500);
+/// Time after which a stopping node closes its listeners.
+///
+/// Callers leave after two failed checks of readiness, one second apart.
+const NOTICE: Duration = Duration::from_millis(2500);
+/// Time before the end of the grace period at which a stopping node gives up.
+const GRACE_MARGIN: Duration = Duration::from_millis(300);
+/// Pause between looks at the requests in flight of a stopping node.
+const DRAIN_PAUSE: Duration = Duration::from_millis(50);
+
+/// Runs a relaying node until `stop` is cancelled and its requests are answered.
+///
+/// # Errors
+///
+/// Returns an error when an address cannot be listened on.
+pub async fn run(
+    site: Site,
+    rows: Arc<dyn Rows>,
+    translator: Arc<dyn Translator>,
+    log: Logger,
+    stop: CancellationToken,
+) -> io::Result<()> {
+    let metrics = meter::install();
+    let shared = Arc::new(share(&site, log.clone()));
+    let suspects = Arc::new(Suspects::new(Instant::now()));
+    let executor = Arc::new(Executor::new(
+        site.upstream,
+        site.dialect.clone(),
+        site.report_interval,
+        Arc::clone(&suspects),
+    ));
+    let dispatcher = Dispatcher::new(
+        Arc::clone(&shared),
+        Arc::clone(&executor),
+        Arc::clone(&suspects),
+    );
+    let entry = Entry::new(Arc::clone(&shared), Arc::new(dispatcher));
+    let inbound = Inbound::new(Arc::clone(&shared), Arc::clone(&executor), suspects);
+    let (records, published) = watch::channel(None);
+    let incarnation = rand::random::<u32>().into();
+    let owner = Owner::new(&site.place, site.listen.peers.to_string(), incarnation);
+    let reports = Reports::new(
+        Arc::clone(&shared),
+        executor,
+        Arc::clone(&translator),
+        owner,
+        records,
+    );
+
+    let listen = &site.listen;
+    let closing = Stop {
+        leaving: stop.clone(),
+        closed: CancellationToken::new(),
+    };
+    let open = Stop::default();
+    let callers = serve(listen.callers, Arc::new(entry), &closing).await?;
+    let peers = serve(listen.peers, Arc::new(inbound), &closing).await?;
+    let admin = serve(listen.reports, Arc::new(reports), &open).await?;
+    let health = Health::new(Arc::clone(&shared), stop.clone());
+    let health = serve(listen.readiness, Arc::new(health), &open).await?;
+    let scrape = serve(listen.metrics, Arc::new(Metrics(metrics)), &open).await?;
+    let control = [
+        tokio::spawn(follow_rules(
+            Arc::clone(&shared),
+            Arc::clone(&rows),
+            translator,
+            site.rules_row.clone(),
+        )),
+        tokio::spawn(follow_records(
+            Arc::clone(&shared),
+            Arc::clone(&rows),
+            site.nodes_table.clone(),
+        )),
+        tokio::spawn(
+            Publisher::new(rows, site.nodes_table.clone(), log.clone()).run(published),
+        ),
+    ];
+    info!(log, "node started"; "service" => &site.service, "domain" => &site.place.domain);
+
+    stop.cancelled().await;
+    let given_up_at = Instant::now() + site.grace.saturating_sub(GRACE_MARGIN);
+    info!(log, "node stopping"; "in_flight" => callers.in_flight() + peers.in_flight());
+    sleep(NOTICE).await;
+    let drained = async {
+        while callers.in_flight() + peers.in_flight() > 0 {
+            sleep(DRAIN_PAUSE).await;
+        }
+        closing.closed.cancel();
+        drop(callers.running.await);
+        drop(peers.running.await);
+    };
+    if timeout_at(given_up_at.into(), drained).await.is_err() {
+        warn!(log, "requests in flight at the end of the grace period");
+    }
+    for task in control.into_iter().chain([admin, health, scrape].map(|task| task.running)) {
+        task.abort();
+    }
+    info!(log, "node stopped");
+    Ok(())
+}
+
+/// A listener with its requests.
+struct Running {
+    running: JoinHandle<()>,
+    busy: Arc<AtomicUsize>,
+}
+
+impl Running {
+    fn in_flight(&self) -> usize {
+        self.busy.load(Ordering::Relaxed)
+    }
+}
+
+async fn serve(address: SocketAddr, handler: Arc<dyn Handler>, stop: &Stop) -> io::Result<Running> {
+    // A change of the limits applies at the next start.
+    let limits = Limits::default();
+    let allowance = Allowance {
+        head_bytes: limits.head_bytes,
+        head_time: limits.idle * 2,
+    };
+    let server = Server::bind(address, handler, allowance).await?;
+    let busy = server.busy();
+    let running = tokio::spawn(server.run(stop.clone()));
+    Ok(Running { running, busy })
+}
+
+fn share(site: &Site, log: Logger) -> Shared {
+    Shared {
+        place: site.place.clone(),
+        service: site.service.clone(),
+        dialect: site.dialect.clone(),
+        allowance: site.allowance,
+        rules: ArcSwap::from_pointee(Rules::default()),
+        directory: ArcSwap::from_pointee(Directory::default()),
+        newest: watch::Sender::new(0),
+        log,
+    }
+}
+
+async fn follow_rules(
+    shared: Arc<Shared>,
+    rows: Arc<dyn Rows>,
+    translator: Arc<dyn Translator>,
+    (table, key): (String, String),
+) {
+    let installer = Installer::new(Arc::clone(&shared), translator, key);
+    let subject = Subject {
+        table: &table,
+        gather: GATHER_RULES,
+    };
+    let newest = Some(shared.newest.subscribe());
+    follow(&*rows, subject, newest, &shared.log, |news| installer.take(news)).await;
+}
+
+async fn follow_records(shared: Arc<Shared>, rows: Arc<dyn Rows>, table: String) {
+    let mut book = Book::new(Arc::clone(&shared));
+    let subject = Subject {
+        table: &table,
+        gather: GATHER_RECORDS,
+    };
+    follow(&*rows, subject, None, &shared.log, |news| book.take(news)).await;
+}
--- a/crates/lentilshunt-node/src/lib.rs
+++ b/crates/lentilshunt-node/src/lib.rs
@@ -8,6 +8,8 @@
 //! | [`executor`] | executes attempts on the own upstream |
 //! | [`peer`] | takes messages of other nodes and of the own upstream |
 //! | [`admin`] | serves metrics and status |
+//! | [`relay`] | relays requests by traffic rules, with streamed bodies |
+//! | [`fleet`] | meets other nodes and takes the traffic rules through a store of rows |
 //! | [`context`] | what all parts share |
 
 pub mod admin;
@@ -15,5 +17,7 @@
 pub mod control;
 pub mod entry;
 pub mod executor;
+pub mod fleet;
 pub mod peer;
+pub mod relay;
 pub mod shell;
--- /dev/null
+++ b/crates/lentilshunt-node/src/relay/call.rs
@@ -0,0 +1,62 @@
+//! A caller's request with what its attempts need.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use hyper::{HeaderMap, Method};
+use lentilshunt_core::{
+    admission::Turn,
+    id::{CallerId, RequestId},
+    quarantine::Fingerprint,
+};
+
+use super::clock::Moment;
+
+/// A caller's request without its body.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Id that the caller gave to this attempt of it.
+    pub request: RequestId,
+    /// Service that answers.
+    pub service: Arc<str>,
+    /// Service beside which the request began.
+    pub caller: CallerId,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query, as the caller sent them.
+    pub path: String,
+    /// End-to-end headers of the caller.
+    pub headers: HeaderMap,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// Rank of the request; 0 is the most urgent.
+    pub rank: u8,
+    /// When the request arrived.
+    pub arrived: Moment,
+    /// Instant by which the request must be answered.
+    pub deadline: Instant,
+    /// Instant after which the answer is worth less.
+    pub target: Instant,
+    /// What makes repeats of the request the same.
+    pub fingerprint: Fingerprint,
+}
+
+impl Call {
+    /// Returns the time until the deadline, without the time spent in suspension.
+    #[must_use]
+    pub fn remaining(&self) -> Duration {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        left.saturating_sub(self.arrived.frozen())
+    }
+
+    /// Returns the order of the request among those that wait for a slot.
+    #[must_use]
+    pub fn turn(&self) -> Turn {
+        Turn {
+            rank: self.rank,
+            deadline: self.deadline,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -0,0 +1,235 @@
+//! Sends the attempts of a call.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use hyper::{Request, header::HeaderValue};
+use lentilshunt_core::{
+    id::{InstanceId, ServiceId},
+    membership::Endpoint,
+    quarantine::{Admittance, Suspects},
+    retry::Share,
+    routing::{Choice, Local, Observations, Outcome, Policy, Selection},
+    verdict::{Reason, Verdict},
+};
+use tokio::time::timeout_at;
+
+use super::{
+    Call, Executor, Reply, Shared,
+    body::{Body, Payload, read},
+    head::{read_reply, write_call},
+    pool::Pool,
+};
+
+/// Longest wait for a connection to another node.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for which an idle connection to another node is kept.
+const IDLE_TIME: Duration = Duration::from_secs(10);
+/// Largest answer that is held whole before its head is passed on, in bytes.
+///
+/// A broken answer of up to this size can still be replaced by another attempt.
+const HELD_BYTES: usize = 64 * 1024;
+/// Nodes that one call is sent to, counting those that refuse it.
+const MAX_HOPS: usize = 5;
+
+/// Tries calls until they have run or may not be tried again.
+#[derive(Debug)]
+pub struct Dispatcher {
+    shared: Arc<Shared>,
+    executor: Arc<Executor>,
+    pool: Pool,
+    policy: Box<dyn Policy>,
+    observations: Observations,
+    suspects: Arc<Suspects>,
+    shares: Mutex<HashMap<ServiceId, Arc<Share>>>,
+}
+
+/// The attempts of one call so far.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Instances that the call was sent to.
+    pub tried: Vec<InstanceId>,
+    /// Attempts that reached an upstream.
+    pub sent: usize,
+    /// Whether an earlier attempt may have run.
+    pub may_have_run: bool,
+}
+
+impl Dispatcher {
+    /// Creates a dispatcher that has observed nothing.
+    #[must_use]
+    pub fn new(shared: Arc<Shared>, executor: Arc<Executor>, suspects: Arc<Suspects>) -> Self {
+        Self {
+            shared,
+            executor,
+            pool: Pool::new(CONNECT_TIMEOUT, IDLE_TIME),
+            policy: Box::new(Local),
+            observations: Observations::new(Instant::now()),
+            suspects,
+            shares: Mutex::default(),
+        }
+    }
+
+    /// Tries a call on at most `max_attempts` upstreams and returns its reply.
+    ///
+    /// The verdict of the reply holds for all attempts together. Dropping the
+    /// future cancels the attempt in flight.
+    pub async fn dispatch(
+        &self,
+        call: &Call,
+        payload: Payload,
+        max_attempts: usize,
+        progress: &mut Progress,
+    ) -> Reply {
+        let mut payload = Some(payload);
+        let share = self.share(&call.service);
+        let nodes = self.shared.directory.load().nodes();
+        share.earn(self.shared.allowance, nodes);
+        let mut last = None;
+        loop {
+            let endpoint = match self.choose(call, progress) {
+                Ok(endpoint) => endpoint,
+                Err(reason) => return finish(last.unwrap_or_else(|| Reply::refused(reason)), progress),
+            };
+            let Some(body) = Payload::take(&mut payload) else {
+                let reply = last.unwrap_or_else(|| Reply::refused(Reason::NoEndpoint));
+                return finish(reply, progress);
+            };
+            let reply = self.attempt(&endpoint, call, body).await;
+            progress.tried.push(endpoint.instance.clone());
+            progress.sent += usize::from(reply.reached);
+            progress.may_have_run |= reply.verdict == Verdict::MayHaveRun;
+            let may_retry = reply.verdict.permits_retry(call.idempotent)
+                || (call.idempotent && reply.is_upstream_failure());
+            let is_over = !may_retry
+                || call.remaining().is_zero()
+                || progress.sent >= max_attempts
+                || progress.tried.len() >= MAX_HOPS
+                || payload.is_none();
+            // Only what reached an upstream counts as a retry there.
+            if is_over || (progress.sent > 0 && !share.spend()) {
+                return finish(reply, progress);
+            }
+            if let Some(reason) = reply.reason {
+                let reason = reason.to_string();
+                metrics::counter!("lentilshunt_retries_total", "reason" => reason).increment(1);
+            }
+            last = Some(reply);
+        }
+    }
+
+    /// Chooses the endpoint of the next attempt, or tells why there is none.
+    fn choose(&self, call: &Call, progress: &Progress) -> Result<Arc<Endpoint>, Reason> {
+        let now = Instant::now();
+        if self.suspects.admittance(call.fingerprint, now) == Admittance::Quarantined {
+            return Err(Reason::Quarantined);
+        }
+        let directory = self.shared.directory.load();
+        let route = directory.route(&call.service).ok_or(Reason::NoEndpoint)?;
+        let selection = Selection {
+            service: &call.service,
+            route,
+            tried: &progress.tried,
+            observations: &self.observations,
+            now,
+            random: rand::random(),
+        };
+        match self.policy.choose(&selection) {
+            Choice::Endpoint(endpoint) => Ok(endpoint),
+            Choice::Full => Err(Reason::NoRoom),
+            Choice::Absent => Err(Reason::NoEndpoint),
+        }
+    }
+
+    async fn attempt(&self, endpoint: &Arc<Endpoint>, call: &Call, body: Body) -> Reply {
+        let observed = self.observations.begin(endpoint, Instant::now());
+        let execution = async {
+            let reply = if endpoint.instance == self.shared.place.instance {
+                let reply = self.executor.execute(call, body).await;
+                let room = Some(self.executor.room());
+                Reply { room, ..reply }
+            } else {
+                self.send(endpoint, call, body).await
+            };
+            hold(reply).await
+        };
+        let until = Instant::now() + call.remaining();
+        let reply = timeout_at(until.into(), execution).await;
+        let reply = reply.unwrap_or_else(|_elapsed| Reply::unknown(Reason::Deadline));
+        let outcome = Outcome::new(reply.verdict, reply.reason);
+        observed.end(outcome, reply.room, Instant::now());
+        if let Some(version) = reply.version {
+            self.shared.learn(version);
+        }
+        reply
+    }
+
+    /// Sends an attempt to another node.
+    async fn send(&self, endpoint: &Endpoint, call: &Call, body: Body) -> Reply {
+        let Some(request) = self.request(call, body) else {
+            return Reply::refused(Reason::BadRequest);
+        };
+        match self.pool.send(endpoint.address, request).await {
+            Ok(response) => {
+                read_reply(response).unwrap_or_else(|| Reply::unknown(Reason::BadAnswer))
+            }
+            Err(failure) if failure.verdict() == Verdict::NotRun => {
+                Reply::refused(Reason::Unreachable)
+            }
+            Err(_broken) => Reply::unknown(Reason::ConnectionLost),
+        }
+    }
+
+    fn request(&self, call: &Call, body: Body) -> Option<Request<Body>> {
+        let mut request = Request::new(body);
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.path.parse().ok()?;
+        let headers = request.headers_mut();
+        headers.clone_from(&call.headers);
+        let (name, value): (_, HeaderValue) = write_call(call, self.shared.version())?;
+        headers.insert(name, value);
+        Some(request)
+    }
+
+    fn share(&self, service: &str) -> Arc<Share> {
+        let mut shares = self.shares.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(share) = shares.get(service) {
+            return Arc::clone(share);
+        }
+        Arc::clone(shares.entry(service.to_owned()).or_default())
+    }
+}
+
+/// Reads a short answer whole, so that a broken one is not passed on.
+async fn hold(mut reply: Reply) -> Reply {
+    let Some(response) = reply.response.take() else {
+        return reply;
+    };
+    let (parts, body) = response.into_parts();
+    match read(body, HELD_BYTES).await {
+        Ok(held) => {
+            let response = hyper::Response::from_parts(parts, held.into_body());
+            reply.response = Some(response);
+            reply
+        }
+        Err(_broken) => Reply {
+            room: reply.room,
+            version: reply.version,
+            ..Reply::unknown(Reason::BadAnswer)
+        },
+    }
+}
+
+/// Returns the reply of the last attempt with the verdict of all attempts.
+fn finish(reply: Reply, progress: &Progress) -> Reply {
+    if reply.verdict == Verdict::NotRun && progress.may_have_run {
+        return Reply {
+            verdict: Verdict::MayHaveRun,
+            ..reply
+        };
+    }
+    reply
+}
--- /dev/null
+++ b/crates/lentilshunt-node/src/relay/entry.rs
@@ -0,0 +1,219 @@
+//! Answers the requests of callers.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Body as _, Incoming},
+    header::{CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER},
+};
+use lentilshunt_core::{
+    quarantine::fingerprint,
+    traffic::Route,
+    verdict::{Reason, Verdict},
+};
+use lentilshunt_net::Pending;
+use slog::{Level, info};
+use tokio::time::timeout_at;
+
+use super::{
+    Call, Dispatcher, Reply, Shared,
+    body::{Body, Payload, empty, incoming, read},
+    clock::Moment,
+    dispatcher::Progress,
+    head::text,
+    header::end_to_end,
+    journal::Journal,
+    server::Handler,
+};
+
+/// Largest body of a request that is held whole and may be sent again, in bytes.
+const HELD_BYTES: usize = 64 * 1024;
+/// Longest time for a request whose caller names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
+/// Shortest time after which a refused caller is asked to come back, in seconds.
+const RETRY_AFTER_SECONDS: f64 = 0.1;
+/// Range over which refused callers are spread, in seconds.
+const RETRY_AFTER_SPREAD_SECONDS: f64 = 0.3;
+
+/// Handler of the listener for callers.
+#[derive(Debug)]
+pub struct Entry {
+    shared: Arc<Shared>,
+    dispatcher: Arc<Dispatcher>,
+    journal: Journal,
+}
+
+/// A request that has been read, with the limits that its route sets.
+struct Arrival {
+    call: Call,
+    payload: Payload,
+    route: Arc<Route>,
+}
+
+impl Entry {
+    /// Creates the handler.
+    #[must_use]
+    pub fn new(shared: Arc<Shared>, dispatcher: Arc<Dispatcher>) -> Self {
+        Self {
+            shared,
+            dispatcher,
+            journal: Journal::new(),
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let arrived = Moment::now();
+        let id = text(request.headers(), self.shared.dialect.request.as_str());
+        let mut progress = Progress::default();
+        let (route, reply) = match self.read(request, arrived, &id).await {
+            Ok(Arrival {
+                call,
+                payload,
+                route,
+            }) => {
+                let reply = self
+                    .dispatcher
+                    .dispatch(&call, payload, route.max_attempts, &mut progress)
+                    .await;
+                (Some(route), reply)
+            }
+            Err(reason) => (None, Reply::refused(reason)),
+        };
+        self.log(&id, route.as_deref(), &reply, &progress, arrived);
+        respond(reply)
+    }
+
+    /// Reads a request and matches it with the rules in force.
+    async fn read(
+        &self,
+        request: Request<Incoming>,
+        arrived: Moment,
+        id: &str,
+    ) -> Result<Arrival, Reason> {
+        let rules = self.shared.rules.load_full();
+        if rules.version() == 0 {
+            return Err(Reason::NoConfiguration);
+        }
+        let (parts, body) = request.into_parts();
+        let host = text(&parts.headers, HOST.as_str());
+        let host = parts.uri.host().unwrap_or(&host);
+        let route = rules
+            .find(host, parts.uri.path())
+            .ok_or(Reason::UnknownService)?;
+        let told = parts.headers.get(CONTENT_LENGTH);
+        let told = told.and_then(|length| length.to_str().ok()?.parse().ok());
+        if told.unwrap_or(body.size_hint().lower()) > rules.limits().body_bytes {
+            return Err(Reason::TooLarge);
+        }
+        let named = text(&parts.headers, self.shared.dialect.deadline_ms.as_str());
+        let named = named.parse().map(Duration::from_millis);
+        let longest = named.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
+        let deadline = arrived.instant() + longest;
+        let payload = match timeout_at(deadline.into(), read(incoming(body), HELD_BYTES)).await {
+            Ok(Ok(payload)) => payload,
+            Ok(Err(_broken)) => return Err(Reason::BadRequest),
+            Err(_elapsed) => return Err(Reason::Deadline),
+        };
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        let caller = &self.shared.service;
+        let fingerprint = fingerprint(caller, parts.method.as_str(), path, payload.head());
+        let call = Call {
+            request: id.to_owned(),
+            service: Arc::clone(route.split.next()),
+            caller: caller.clone(),
+            path: path.to_owned(),
+            headers: end_to_end(&parts.headers),
+            method: parts.method,
+            idempotent: route.idempotent,
+            rank: route.rank,
+            arrived,
+            deadline,
+            target: arrived.instant() + route.target,
+            fingerprint,
+        };
+        Ok(Arrival {
+            call,
+            payload,
+            route: Arc::clone(route),
+        })
+    }
+
+    /// Counts a reply, and logs the decision behind it.
+    fn log(
+        &self,
+        id: &str,
+        route: Option<&Route>,
+        reply: &Reply,
+        progress: &Progress,
+        arrived: Moment,
+    ) {
+        let elapsed = arrived.elapsed();
+        metrics::histogram!("lentilshunt_request_seconds").record(elapsed.as_secs_f64());
+        let reason = reply.reason.map(|reason| reason.to_string());
+        if let Some(reason) = reason.clone() {
+            metrics::counter!("lentilshunt_refusals_total", "reason" => reason).increment(1);
+        }
+        let level = if reply.reason.is_some() || progress.tried.len() > 1 {
+            Level::Warning
+        } else {
+            Level::Info
+        };
+        if !self.journal.admits(level, Instant::now(), &self.shared.log) {
+            return;
+        }
+        let status = reply.response.as_ref().map(|response| response.status());
+        info!(self.shared.log, "request ended";
+            "request" => id,
+            "route" => route.map(|route| route.name.as_str()),
+            "version" => self.shared.version(),
+            "tried" => progress.tried.join(","),
+            "sent" => progress.sent,
+            "verdict" => %reply.verdict,
+            "reason" => reason,
+            "status" => status.map(|status| status.as_u16()),
+            "elapsed_ms" => u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+        );
+    }
+}
+
+impl Handler for Entry {
+    fn handle(&self, request: Request<Incoming>) -> Pending<'_, Response<Body>> {
+        Box::pin(self.answer(request))
+    }
+}
+
+/// Returns the response that a caller gets for a reply.
+fn respond(reply: Reply) -> Response<Body> {
+    if let Some(response) = reply.response {
+        return response;
+    }
+    let status = status(reply.verdict, reply.reason);
+    let mut response = Response::new(empty());
+    *response.status_mut() = status;
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        let spread: f64 = rand::random();
+        let seconds = RETRY_AFTER_SECONDS + RETRY_AFTER_SPREAD_SECONDS * spread;
+        if let Ok(value) = HeaderValue::try_from(format!("{seconds:.2}")) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// Returns the status of a reply without an answer of an upstream.
+fn status(verdict: Verdict, reason: Option<Reason>) -> StatusCode {
+    match (verdict, reason) {
+        (Verdict::NotRun, Some(Reason::BadRequest)) => StatusCode::BAD_REQUEST,
+        (Verdict::NotRun, Some(Reason::UnknownService)) => StatusCode::NOT_FOUND,
+        (Verdict::NotRun, Some(Reason::TooLarge)) => StatusCode::PAYLOAD_TOO_LARGE,
+        // A repeat would be refused as well.
+        (_, Some(Reason::Quarantined)) => StatusCode::BAD_GATEWAY,
+        (Verdict::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+        (_, Some(Reason::Deadline)) => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -0,0 +1,219 @@
+//! Runs calls on the upstream beside the node.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwapOption;
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    header::HeaderValue,
+};
+use lentilshunt_core::{
+    admission::Turn,
+    quarantine::{Admittance, Suspects},
+    verdict::{Reason, Verdict},
+};
+use lentilshunt_schema::peer::Phase;
+
+use super::{
+    Call, Dialect, Reply,
+    body::Body,
+    guarded,
+    pool::Pool,
+    upstream::{self, Change, Report, Upstream},
+};
+use crate::executor::Gate;
+
+/// Requests that may wait for a slot of the upstream.
+const QUEUE: u32 = 64;
+/// Longest wait for a connection to the upstream, which is on the same machine.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for which an idle connection to the upstream is kept if it does not tell.
+const IDLE_TIME: Duration = Duration::from_secs(8);
+/// Announcements that may be missing before the upstream counts as gone.
+const MISSING_ANNOUNCEMENTS: u32 = 4;
+
+/// Decides which calls run on the own upstream, and runs them.
+#[derive(Debug)]
+pub struct Executor {
+    address: SocketAddr,
+    dialect: Dialect,
+    interval: Duration,
+    upstream: ArcSwapOption<Upstream>,
+    gate: Arc<Gate>,
+    pool: Pool,
+    suspects: Arc<Suspects>,
+}
+
+impl Executor {
+    /// Creates an executor that has not heard of its upstream.
+    ///
+    /// `interval` is the time between two reports of the upstream.
+    #[must_use]
+    pub fn new(
+        address: SocketAddr,
+        dialect: Dialect,
+        interval: Duration,
+        suspects: Arc<Suspects>,
+    ) -> Self {
+        Self {
+            address,
+            dialect,
+            interval,
+            upstream: ArcSwapOption::empty(),
+            gate: Arc::new(Gate::new(QUEUE)),
+            pool: Pool::new(CONNECT_TIMEOUT, IDLE_TIME),
+            suspects,
+        }
+    }
+
+    /// Takes a report of the upstream and returns what it changed.
+    pub fn report(&self, report: &Report, now: Instant) -> Change {
+        let held = self.upstream.load_full();
+        let (change, taken) = upstream::take(held.as_deref(), report.clone(), self.interval, now);
+        if let Some(taken) = taken {
+            let is_new = held.is_none_or(|held| {
+                held.report.process != taken.report.process
+                    || held.report.started_ms != taken.report.started_ms
+            });
+            if is_new {
+                self.pool.forget(self.address);
+            }
+            self.gate.resize(taken.report.slots);
+            self.upstream.store(Some(Arc::new(taken)));
+        }
+        change
+    }
+
+    /// Returns the newest report of an upstream that still reports.
+    #[must_use]
+    pub fn upstream(&self, now: Instant) -> Option<Arc<Upstream>> {
+        let upstream = self.upstream.load_full()?;
+        let silence = now.saturating_duration_since(upstream.heard_at);
+        (silence <= self.interval * MISSING_ANNOUNCEMENTS).then_some(upstream)
+    }
+
+    /// Returns the free slots that no call waits for.
+    #[must_use]
+    pub fn room(&self) -> u32 {
+        self.gate.room()
+    }
+
+    /// Runs a call, or refuses it.
+    pub async fn execute(&self, call: &Call, body: Body) -> Reply {
+        if let Err(reason) = self.admit(call) {
+            return Reply::refused(reason);
+        }
+        let turn = Turn {
+            rank: call.rank,
+            deadline: call.deadline,
+        };
+        let slot = match self.gate.check_and_enter(turn).await {
+            Ok(slot) => slot,
+            Err(reason) => return Reply::refused(reason),
+        };
+        // The upstream may have begun to leave while the call waited.
+        let upstream = match self.admit(call) {
+            Ok(upstream) => upstream,
+            Err(reason) => return Reply::refused(reason),
+        };
+        let Some(request) = self.request(call, &upstream, body) else {
+            return Reply::refused(Reason::BadRequest);
+        };
+        if call.remaining().is_zero() {
+            return Reply::refused(Reason::Deadline);
+        }
+        let started_at = Instant::now();
+        let response = match self.pool.send(self.address, request).await {
+            Ok(response) => response,
+            Err(failure) if failure.verdict() == Verdict::NotRun => {
+                return Reply::refused(Reason::Unreachable);
+            }
+            Err(_broken) => {
+                return Reply::unknown(Reason::UpstreamLost);
+            }
+        };
+        let reply = self.classify(call, response);
+        if reply.verdict == Verdict::Ran {
+            self.gate.observe(started_at);
+        }
+        Reply {
+            response: reply
+                .response
+                .map(|response| response.map(|body| guarded::hold(body, slot))),
+            ..reply
+        }
+    }
+
+    /// Returns the upstream if a call may run on it.
+    fn admit(&self, call: &Call) -> Result<Arc<Upstream>, Reason> {
+        let now = Instant::now();
+        let upstream = self.upstream(now).ok_or(Reason::NotReady)?;
+        match upstream.report.phase {
+            Phase::Ready => {}
+            Phase::Draining | Phase::Gone => return Err(Reason::Draining),
+            Phase::Starting => return Err(Reason::NotReady),
+        }
+        if upstream.report.service != *call.service {
+            return Err(Reason::NotReady);
+        }
+        if self.suspects.admittance(call.fingerprint, now) == Admittance::Quarantined {
+            return Err(Reason::Quarantined);
+        }
+        Ok(upstream)
+    }
+
+    fn request(&self, call: &Call, upstream: &Upstream, body: Body) -> Option<Request<Body>> {
+        let mut request = Request::new(body);
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.path.parse().ok()?;
+        let headers = request.headers_mut();
+        headers.clone_from(&call.headers);
+        let dialect = &self.dialect;
+        let remaining = call.remaining().as_millis().to_string();
+        headers.insert(&dialect.deadline_ms, HeaderValue::try_from(remaining).ok()?);
+        headers.insert(&dialect.caller, HeaderValue::try_from(&call.caller).ok()?);
+        headers.insert(&dialect.expected, upstream.id.clone());
+        Some(request)
+    }
+
+    /// Tells an answer to the call from a refusal and from the answer to another request.
+    fn classify(&self, call: &Call, response: Response<Body>) -> Reply {
+        let headers = response.headers();
+        let has_not_run = headers.contains_key(&self.dialect.not_run)
+            || response.status() == StatusCode::MISDIRECTED_REQUEST;
+        if is_other(headers.get(&self.dialect.request), &call.request) {
+            return Reply::unknown(Reason::BadAnswer);
+        }
+        if has_not_run {
+            let reason = match response.status() {
+                StatusCode::MISDIRECTED_REQUEST => Reason::NotReady,
+                _ => Reason::QueueFull,
+            };
+            return Reply::refused(reason).reached();
+        }
+        if headers.get(&self.dialect.request).is_none() {
+            return Reply::unknown(Reason::BadAnswer);
+        }
+        Reply::answered(response.map(|body| body)).strip()
+    }
+}
+
+/// Returns whether an echoed id is that of another request.
+fn is_other(echoed: Option<&HeaderValue>, request: &str) -> bool {
+    echoed.is_some_and(|echoed| echoed.as_bytes() != request.as_bytes())
+}
+
+impl Reply {
+    /// Removes the headers that concern the connection of the answer.
+    fn strip(mut self) -> Self {
+        if let Some(response) = &mut self.response {
+            let kept: HeaderMap = super::header::end_to_end(response.headers());
+            *response.headers_mut() = kept;
+        }
+        self
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-node/src/relay/mod.rs
@@ -0,0 +1,40 @@
+//! Relays requests of callers to upstreams, with bodies that pass piece by piece.
+//!
+//! | module | does |
+//! |---|---|
+//! | [`Entry`] | takes requests of callers and matches them with the traffic rules |
+//! | [`Dispatcher`] | sends the attempts of a call, here or on other nodes |
+//! | [`Inbound`] | takes calls of other nodes |
+//! | [`Executor`] | runs calls on the upstream beside the node, and refuses the rest |
+//! | [`Pool`], [`Server`] | connections on which bodies are never held whole |
+
+pub mod body;
+mod call;
+pub mod clock;
+mod dialect;
+mod dispatcher;
+mod entry;
+mod executor;
+mod guarded;
+mod head;
+mod header;
+mod inbound;
+mod journal;
+mod pool;
+mod reply;
+mod server;
+mod shared;
+pub mod upstream;
+
+pub use call::Call;
+pub use dialect::Dialect;
+pub use dispatcher::{Dispatcher, Progress};
+pub use entry::Entry;
+pub use executor::Executor;
+pub use header::end_to_end;
+pub use inbound::Inbound;
+pub use journal::Journal;
+pub use pool::{Failure, Pool};
+pub use reply::Reply;
+pub use server::{Allowance, Handler, Server};
+pub use shared::{Directory, Shared};
--- /dev/null
+++ b/crates/lentilshunt-node/src/relay/reply.rs
@@ -0,0 +1,80 @@
+//! What an attempt, or a whole call, came to.
+
+use hyper::Response;
+use lentilshunt_core::{
+    id::VersionId,
+    verdict::{Reason, Verdict},
+};
+
+use super::body::Body;
+
+/// Outcome of an attempt or of a call.
+#[derive(Debug)]
+pub struct Reply {
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// Why there is no answer of an upstream.
+    pub reason: Option<Reason>,
+    /// Whether the request was sent to an upstream, which may have refused it.
+    pub reached: bool,
+    /// Free slots of the executing node, when it told.
+    pub room: Option<u32>,
+    /// Version in force on the executing node, when it told.
+    pub version: Option<VersionId>,
+    /// Answer of the upstream, for [`Verdict::Ran`].
+    pub response: Option<Response<Body>>,
+}
+
+impl Reply {
+    /// Creates the reply to a request that has not run and never will.
+    #[must_use]
+    pub fn refused(reason: Reason) -> Self {
+        Self::failed(Verdict::NotRun, reason)
+    }
+
+    /// Creates the reply to a request whose outcome is not known.
+    #[must_use]
+    pub fn unknown(reason: Reason) -> Self {
+        Self::failed(Verdict::MayHaveRun, reason).reached()
+    }
+
+    /// Creates the reply to a request that an upstream answered.
+    #[must_use]
+    pub fn answered(response: Response<Body>) -> Self {
+        Self {
+            verdict: Verdict::Ran,
+            reason: None,
+            reached: true,
+            room: None,
+            version: None,
+            response: Some(response),
+        }
+    }
+
+    /// Creates the reply to a failed request.
+    #[must_use]
+    pub fn failed(verdict: Verdict, reason: Reason) -> Self {
+        Self {
+            verdict,
+            reason: Some(reason),
+            reached: false,
+            room: None,
+            version: None,
+            response: None,
+        }
+    }
+
+    /// Notes that the request was sent to an upstream.
+    #[must_use]
+    pub fn reached(mut self) -> Self {
+        self.reached = true;
+        self
+    }
+
+    /// Returns whether the upstream itself answered with a failure.
+    #[must_use]
+    pub fn is_upstream_failure(&self) -> bool {
+        let response = self.response.as_ref();
+        response.is_some_and(|response| response.status().is_server_error())
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-node/src/relay/shared.rs
@@ -0,0 +1,104 @@
+//! What all parts of a relaying node share.
+
+use std::{collections::HashMap, sync::Arc};
+
+use arc_swap::ArcSwap;
+use lentilshunt_core::{
+    id::{ServiceId, VersionId},
+    membership::{Endpoint, Phase},
+    retry::Allowance,
+    routing::{Place, Route},
+    traffic::Rules,
+};
+use slog::Logger;
+use tokio::sync::watch;
+
+use super::Dialect;
+
+/// Endpoints of each service, from the nearest to the farthest.
+#[derive(Debug, Default)]
+pub struct Directory {
+    services: HashMap<ServiceId, Route>,
+    nodes: usize,
+}
+
+/// State shared by the parts of a relaying node.
+#[derive(Debug)]
+pub struct Shared {
+    /// Where the node stands.
+    pub place: Place,
+    /// Service of the upstream beside the node.
+    pub service: ServiceId,
+    /// Header names of callers and upstreams.
+    pub dialect: Dialect,
+    /// Retries that all nodes together may make for one service.
+    pub allowance: Allowance,
+    /// Traffic rules in force.
+    pub rules: ArcSwap<Rules>,
+    /// Endpoints known.
+    pub directory: ArcSwap<Directory>,
+    /// Highest version that this or another node has in force.
+    pub newest: watch::Sender<VersionId>,
+    /// Structured log.
+    pub log: Logger,
+}
+
+impl Directory {
+    /// Sorts endpoints by service and by their distance from a place.
+    #[must_use]
+    pub fn new(endpoints: &[Arc<Endpoint>], place: &Place) -> Self {
+        let mut services: HashMap<ServiceId, Route> = HashMap::new();
+        for endpoint in endpoints {
+            if endpoint.phase != Phase::Ready {
+                continue;
+            }
+            let route = services
+                .entry(endpoint.service.clone())
+                .or_insert_with(|| Route {
+                    service: lentilshunt_core::config::Service::default(),
+                    tiers: Default::default(),
+                });
+            route.tiers[place.distance(endpoint)].push(Arc::clone(endpoint));
+        }
+        Self {
+            services,
+            nodes: endpoints.len(),
+        }
+    }
+
+    /// Returns the endpoints of a service, if any is known.
+    #[must_use]
+    pub fn route(&self, service: &str) -> Option<&Route> {
+        self.services.get(service)
+    }
+
+    /// Returns the number of nodes known.
+    #[must_use]
+    pub fn nodes(&self) -> usize {
+        self.nodes
+    }
+
+    /// Returns every endpoint that may be called.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
+        self.services.values().flat_map(Route::endpoints)
+    }
+}
+
+impl Shared {
+    /// Returns the version in force; 0 before the first.
+    #[must_use]
+    pub fn version(&self) -> VersionId {
+        self.rules.load().version()
+    }
+
+    /// Takes the version that another node has in force.
+    pub fn learn(&self, version: VersionId) {
+        self.newest.send_if_modified(|newest| {
+            let is_newer = version > *newest;
+            if is_newer {
+                *newest = version;
+            }
+            is_newer
+        });
+    }
+}
