fix(fleet): end a stopping node while callers stay, reread settings

Cause: a stopping node waited for a moment without requests before it closed its listeners, which never came while callers stayed; a signal to reread the settings ended the process; refusals of an upstream within its slots counted as lack of room, so grey upstreams kept their share; a repeated request's own calls count as retries and were not allowed for.

--- a/crates/lentilshunt-core/src/retry/share.rs
+++ b/crates/lentilshunt-core/src/retry/share.rs
@@ -7,7 +7,7 @@
 /// Part of the fleet's allowance that is handed out, in percent.
 ///
 /// The rest covers the calls that repeated requests make themselves.
-const HANDED_OUT_PERCENT: u64 = 75;
+const HANDED_OUT_PERCENT: u64 = 50;
 
 /// Retries that all nodes together may make in one window.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/lentilshunt-node/src/fleet/follow.rs
+++ b/crates/lentilshunt-node/src/fleet/follow.rs
@@ -9,10 +9,6 @@
 
 use super::{Change, Error, Rows};
 
-/// Longest wait of one call for changes.
-///
-/// The store may forget a waiting call in an outage; the next one finds what changed.
-const WAIT: Duration = Duration::from_secs(6);
 /// First pause after the store did not answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after the store did not answer.
@@ -25,6 +21,8 @@
     pub table: &'a str,
     /// Pause after changes, in which further ones gather.
     pub gather: Duration,
+    /// Longest wait of one call for changes.
+    pub wait: Duration,
 }
 
 /// What was read of a table.
@@ -70,7 +68,7 @@
         let mut revision = page.revision;
         loop {
             let waited = tokio::select! {
-                waited = rows.wait(table, revision, WAIT) => waited,
+                waited = rows.wait(table, revision, subject.wait) => waited,
                 () = overtaken(&mut newest, held) => break,
             };
             match waited {
--- a/crates/lentilshunt-node/src/fleet/shell.rs
+++ b/crates/lentilshunt-node/src/fleet/shell.rs
@@ -35,31 +35,39 @@
 };
 
 /// Pause after a version in which further ones gather.
-const GATHER_RULES: Duration = Duration::from_millis(300);
+const GATHER_RULES: Duration = Duration::from_millis(600);
+/// Longest wait of one call for a new version.
+///
+/// A call that the store forgot in an outage is noticed earlier by the versions of other nodes.
+const WAIT_RULES: Duration = Duration::from_secs(8);
 /// Pause after changed records in which further ones gather.
-const GATHER_RECORDS: Duration = Duration::from_millis(500);
+const GATHER_RECORDS: Duration = Duration::from_secs(1);
+/// Longest wait of one call for changed records.
+const WAIT_RECORDS: Duration = Duration::from_secs(15);
 /// Time after which a stopping node closes its listeners.
 ///
 /// Callers leave after two failed checks of readiness, one second apart.
 const NOTICE: Duration = Duration::from_millis(2500);
 /// Time before the end of the grace period at which a stopping node gives up.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
-/// Pause between looks at the requests in flight of a stopping node.
-const DRAIN_PAUSE: Duration = Duration::from_millis(50);
 
 /// Runs a relaying node until `stop` is cancelled and its requests are answered.
 ///
+/// A later site of `sites` changes the allowance of retries at once; what else
+/// it changes applies at the next start.
+///
 /// # Errors
 ///
 /// Returns an error when an address cannot be listened on.
 pub async fn run(
-    site: Site,
+    mut sites: watch::Receiver<Site>,
     rows: Arc<dyn Rows>,
     translator: Arc<dyn Translator>,
     log: Logger,
     stop: CancellationToken,
 ) -> io::Result<()> {
     let metrics = meter::install();
+    let site = sites.borrow_and_update().clone();
     let shared = Arc::new(share(&site, log.clone()));
     let suspects = Arc::new(Suspects::new(Instant::now()));
     let executor = Arc::new(Executor::new(
@@ -74,7 +82,7 @@
         Arc::clone(&suspects),
     );
     let entry = Entry::new(Arc::clone(&shared), Arc::new(dispatcher));
-    let inbound = Inbound::new(Arc::clone(&shared), Arc::clone(&executor), suspects);
+    let inbound = Inbound::new(Arc::clone(&shared), Arc::clone(&executor), suspects, stop.clone());
     let (records, published) = watch::channel(None);
     let incarnation = rand::random::<u32>().into();
     let owner = Owner::new(&site.place, site.listen.peers.to_string(), incarnation);
@@ -110,6 +118,7 @@
             Arc::clone(&rows),
             site.nodes_table.clone(),
         )),
+        tokio::spawn(apply(Arc::clone(&shared), sites)),
         tokio::spawn(
             Publisher::new(rows, site.nodes_table.clone(), log.clone()).run(published),
         ),
@@ -120,11 +129,8 @@
     let given_up_at = Instant::now() + site.grace.saturating_sub(GRACE_MARGIN);
     info!(log, "node stopping"; "in_flight" => callers.in_flight() + peers.in_flight());
     sleep(NOTICE).await;
+    closing.closed.cancel();
     let drained = async {
-        while callers.in_flight() + peers.in_flight() > 0 {
-            sleep(DRAIN_PAUSE).await;
-        }
-        closing.closed.cancel();
         drop(callers.running.await);
         drop(peers.running.await);
     };
@@ -168,7 +174,7 @@
         place: site.place.clone(),
         service: site.service.clone(),
         dialect: site.dialect.clone(),
-        allowance: site.allowance,
+        allowance: ArcSwap::from_pointee(site.allowance),
         rules: ArcSwap::from_pointee(Rules::default()),
         directory: ArcSwap::from_pointee(Directory::default()),
         newest: watch::Sender::new(0),
@@ -176,6 +182,16 @@
     }
 }
 
+/// Applies changes of the settings until no more can come.
+async fn apply(shared: Arc<Shared>, mut sites: watch::Receiver<Site>) {
+    while sites.changed().await.is_ok() {
+        let allowance = sites.borrow_and_update().allowance;
+        shared.allowance.store(Arc::new(allowance));
+        info!(shared.log, "settings applied"; "retry_percent" => allowance.percent,
+            "retry_slack" => allowance.slack);
+    }
+}
+
 async fn follow_rules(
     shared: Arc<Shared>,
     rows: Arc<dyn Rows>,
@@ -186,6 +202,7 @@
     let subject = Subject {
         table: &table,
         gather: GATHER_RULES,
+        wait: WAIT_RULES,
     };
     let newest = Some(shared.newest.subscribe());
     follow(&*rows, subject, newest, &shared.log, |news| installer.take(news)).await;
@@ -196,6 +213,7 @@
     let subject = Subject {
         table: &table,
         gather: GATHER_RECORDS,
+        wait: WAIT_RECORDS,
     };
     follow(&*rows, subject, None, &shared.log, |news| book.take(news)).await;
 }
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use hyper::{Request, header::HeaderValue};
+use hyper::{Request, StatusCode, header::HeaderValue};
 use lentilshunt_core::{
     id::{InstanceId, ServiceId},
     membership::Endpoint,
@@ -35,6 +35,9 @@
 /// Nodes that one call is sent to, counting those that refuse it.
 const MAX_HOPS: usize = 5;
 
+/// Statuses of an upstream that is not well; a late one answers otherwise.
+const FAILURES: [StatusCode; 2] = [StatusCode::INTERNAL_SERVER_ERROR, StatusCode::BAD_GATEWAY];
+
 /// Tries calls until they have run or may not be tried again.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -87,7 +90,7 @@
         let mut payload = Some(payload);
         let share = self.share(&call.service);
         let nodes = self.shared.directory.load().nodes();
-        share.earn(self.shared.allowance, nodes);
+        share.earn(**self.shared.allowance.load(), nodes);
         let mut last = None;
         loop {
             let endpoint = match self.choose(call, progress) {
@@ -159,7 +162,7 @@
         let until = Instant::now() + call.remaining();
         let reply = timeout_at(until.into(), execution).await;
         let reply = reply.unwrap_or_else(|_elapsed| Reply::unknown(Reason::Deadline));
-        let outcome = Outcome::new(reply.verdict, reply.reason);
+        let outcome = outcome(&reply);
         observed.end(outcome, reply.room, Instant::now());
         if let Some(version) = reply.version {
             self.shared.learn(version);
@@ -203,6 +206,21 @@
     }
 }
 
+/// Returns what a reply says of its endpoint.
+///
+/// No more calls are sent to an upstream than it has slots, so one that refuses
+/// a call or answers with an error of its own is not well.
+fn outcome(reply: &Reply) -> Outcome {
+    let has_refused = reply.verdict == Verdict::NotRun && reply.reached;
+    let response = reply.response.as_ref();
+    let has_failed = response.is_some_and(|response| FAILURES.contains(&response.status()));
+    if has_refused || has_failed {
+        Outcome::Failed
+    } else {
+        Outcome::new(reply.verdict, reply.reason)
+    }
+}
+
 /// Reads a short answer whole, so that a broken one is not passed on.
 async fn hold(mut reply: Reply) -> Reply {
     let Some(response) = reply.response.take() else {
--- a/crates/lentilshunt-node/src/relay/inbound.rs
+++ b/crates/lentilshunt-node/src/relay/inbound.rs
@@ -8,6 +8,7 @@
     verdict::Reason,
 };
 use lentilshunt_net::Pending;
+use tokio_util::sync::CancellationToken;
 
 use super::{
     Executor, Reply, Shared,
@@ -27,16 +28,23 @@
     shared: Arc<Shared>,
     executor: Arc<Executor>,
     suspects: Arc<Suspects>,
+    stop: CancellationToken,
 }
 
 impl Inbound {
-    /// Creates the handler.
+    /// Creates the handler; calls that arrive after `stop` are refused.
     #[must_use]
-    pub fn new(shared: Arc<Shared>, executor: Arc<Executor>, suspects: Arc<Suspects>) -> Self {
+    pub fn new(
+        shared: Arc<Shared>,
+        executor: Arc<Executor>,
+        suspects: Arc<Suspects>,
+        stop: CancellationToken,
+    ) -> Self {
         Self {
             shared,
             executor,
             suspects,
+            stop,
         }
     }
 
@@ -45,8 +53,12 @@
             return self.learn(request).await;
         };
         self.shared.learn(version);
-        let body = incoming(request.into_body());
-        let reply = self.executor.execute(&call, body).await;
+        let reply = if self.stop.is_cancelled() {
+            Reply::refused(Reason::Draining)
+        } else {
+            let body = incoming(request.into_body());
+            self.executor.execute(&call, body).await
+        };
         write_reply(reply, self.executor.room(), self.shared.version())
     }
 
--- a/crates/lentilshunt-node/src/relay/shared.rs
+++ b/crates/lentilshunt-node/src/relay/shared.rs
@@ -32,7 +32,7 @@
     /// Header names of callers and upstreams.
     pub dialect: Dialect,
     /// Retries that all nodes together may make for one service.
-    pub allowance: Allowance,
+    pub allowance: ArcSwap<Allowance>,
     /// Traffic rules in force.
     pub rules: ArcSwap<Rules>,
     /// Endpoints known.
