feat(admission): serve punctual requests before late ones

Cause: in overload the executors' queues held requests until their deadline, so that nearly all were answered late, and the repeats of impatient callers kept the queues full after the burst.

A request is queued only while it can be answered within its target; its caller is told to come back after a part of the time left. A repeat whose target has passed is told by the time that its caller gives it, and waits behind punctual requests.

--- a/crates/lentilshunt-core/src/admission/turn.rs
+++ b/crates/lentilshunt-core/src/admission/turn.rs
@@ -4,19 +4,26 @@
 
 /// Order of a request among those that wait for a slot.
 ///
-/// Requests are served by rank, then by deadline.
+/// Requests are served by rank, then those that can still be answered with full
+/// worth, then by deadline.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Turn {
     /// Rank of the request; 0 is served first.
     pub rank: u8,
+    /// Whether the time for an answer with full worth has passed.
+    pub late: bool,
     /// Instant by which the request must be answered.
     pub deadline: Instant,
 }
 
 impl Turn {
-    /// Creates the turn of a request of the highest rank.
+    /// Creates the turn of a request of the highest rank that is not late.
     #[must_use]
     pub fn by(deadline: Instant) -> Self {
-        Self { rank: 0, deadline }
+        Self {
+            rank: 0,
+            late: false,
+            deadline,
+        }
     }
 }
--- a/crates/lentilshunt-core/tests/admission.rs
+++ b/crates/lentilshunt-core/tests/admission.rs
@@ -27,7 +27,10 @@
 fn queue_by_rank_before_deadline() {
     let now = Instant::now();
     let mut queue = Queue::new(3);
-    let turn = |rank, deadline| Turn { rank, deadline };
+    let turn = |rank, deadline| Turn {
+        rank,
+        ..Turn::by(deadline)
+    };
     queue.push(turn(2, now), "bulk");
     queue.push(turn(0, now + MILLISECOND * 9), "urgent");
     queue.push(turn(1, now + MILLISECOND), "usual");
@@ -36,6 +39,19 @@
     assert_eq!(order, [Some("urgent"), Some("usual"), Some("bulk")]);
 }
 
+#[test]
+fn queue_late_after_punctual() {
+    let now = Instant::now();
+    let mut queue = Queue::new(2);
+    let late = Turn {
+        late: true,
+        ..Turn::by(now)
+    };
+    queue.push(late, "late");
+    queue.push(Turn::by(now + MILLISECOND), "punctual");
+    assert_eq!([queue.pop(), queue.pop()], [Some("punctual"), Some("late")]);
+}
+
 #[test]
 fn slots_up_to_limit() {
     let slots = Slots::default();
--- a/crates/lentilshunt-node/src/relay/call.rs
+++ b/crates/lentilshunt-node/src/relay/call.rs
@@ -39,6 +39,8 @@
     pub deadline: Instant,
     /// Instant after which the answer is worth less.
     pub target: Instant,
+    /// Whether the caller sent the request before, and `target` had passed by now.
+    pub late: bool,
     /// What makes repeats of the request the same.
     pub fingerprint: Fingerprint,
 }
@@ -52,11 +54,19 @@
     }
 
     /// Returns the order of the request among those that wait for a slot.
+    ///
+    /// A request that can no longer be answered with full worth is not waited
+    /// for: its caller comes back for what is left of the time.
     #[must_use]
     pub fn turn(&self) -> Turn {
         Turn {
             rank: self.rank,
-            deadline: self.deadline,
+            late: self.late,
+            deadline: if self.late {
+                self.deadline
+            } else {
+                self.target.min(self.deadline)
+            },
         }
     }
 }
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -12,7 +12,7 @@
     membership::Endpoint,
     quarantine::{Admittance, Suspects},
     retry::Share,
-    routing::{Choice, Local, Observations, Outcome, Policy, Selection},
+    routing::{Choice, Local, Observations, Outcome, Place, Policy, Route, Selection},
     verdict::{Reason, Verdict},
 };
 use tokio::time::timeout_at;
@@ -59,6 +59,10 @@
     pub sent: usize,
     /// Whether an earlier attempt may have run.
     pub may_have_run: bool,
+    /// Milliseconds that the caller gave the request.
+    pub given_ms: u64,
+    /// Whether the caller had sent the request before, and its target had passed.
+    pub late: bool,
 }
 
 impl Dispatcher {
@@ -141,12 +145,25 @@
             random: rand::random(),
         };
         match self.policy.choose(&selection) {
+            Choice::Endpoint(endpoint) if self.is_too_far(call, &endpoint, route) => {
+                Err(Reason::NoRoom)
+            }
             Choice::Endpoint(endpoint) => Ok(endpoint),
             Choice::Full => Err(Reason::NoRoom),
             Choice::Absent => Err(Reason::NoEndpoint),
         }
     }
 
+    /// Returns whether a late call would leave a region that has endpoints of its own.
+    ///
+    /// The bytes between regions cost more than a late answer is worth.
+    fn is_too_far(&self, call: &Call, endpoint: &Endpoint, route: &Route) -> bool {
+        let away = Place::DISTANCES - 1;
+        call.late
+            && self.shared.place.distance(endpoint) == away
+            && route.tiers[..away].iter().any(|tier| !tier.is_empty())
+    }
+
     async fn attempt(&self, endpoint: &Arc<Endpoint>, call: &Call, body: Body) -> Reply {
         let observed = self.observations.begin(endpoint, Instant::now());
         let execution = async {
--- a/crates/lentilshunt-node/src/relay/entry.rs
+++ b/crates/lentilshunt-node/src/relay/entry.rs
@@ -27,6 +27,7 @@
     head::text,
     header::end_to_end,
     journal::Journal,
+    patience::Patience,
     server::Handler,
 };
 
@@ -34,16 +35,23 @@
 const HELD_BYTES: usize = 64 * 1024;
 /// Longest time for a request whose caller names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
-/// Shortest time after which a refused caller is asked to come back, in seconds.
+/// Shortest time after which a caller that met no endpoint is asked to come back, in seconds.
 const RETRY_AFTER_SECONDS: f64 = 0.1;
-/// Range over which refused callers are spread, in seconds.
+/// Range over which such callers are spread, in seconds.
 const RETRY_AFTER_SPREAD_SECONDS: f64 = 0.3;
+/// Part of the time left after which a caller that met no room is asked to come back.
+///
+/// Callers wait for up to a third of the time that they have left.
+const RETRY_AFTER_PART: f64 = 0.2;
+/// Range over which such callers are spread, as a part of the time left.
+const RETRY_AFTER_SPREAD_PART: f64 = 0.12;
 
 /// Handler of the listener for callers.
 #[derive(Debug)]
 pub struct Entry {
     shared: Arc<Shared>,
     dispatcher: Arc<Dispatcher>,
+    patience: Patience,
     journal: Journal,
 }
 
@@ -52,6 +60,8 @@
     call: Call,
     payload: Payload,
     route: Arc<Route>,
+    /// Time that the caller gave the request.
+    given: Duration,
 }
 
 impl Entry {
@@ -61,6 +71,7 @@
         Self {
             shared,
             dispatcher,
+            patience: Patience::default(),
             journal: Journal::new(),
         }
     }
@@ -69,22 +80,27 @@
         let arrived = Moment::now();
         let id = text(request.headers(), self.shared.dialect.request.as_str());
         let mut progress = Progress::default();
+        let mut left = Duration::ZERO;
         let (route, reply) = match self.read(request, arrived, &id).await {
             Ok(Arrival {
                 call,
                 payload,
                 route,
+                given,
             }) => {
+                progress.late = call.late;
+                progress.given_ms = given.as_millis().try_into().unwrap_or(u64::MAX);
                 let reply = self
                     .dispatcher
                     .dispatch(&call, payload, route.max_attempts, &mut progress)
                     .await;
+                left = call.remaining();
                 (Some(route), reply)
             }
             Err(reason) => (None, Reply::refused(reason)),
         };
         self.log(&id, route.as_deref(), &reply, &progress, arrived);
-        respond(reply)
+        respond(reply, left)
     }
 
     /// Reads a request and matches it with the rules in force.
@@ -110,9 +126,9 @@
             return Err(Reason::TooLarge);
         }
         let named = text(&parts.headers, self.shared.dialect.deadline_ms.as_str());
-        let named = named.parse().map(Duration::from_millis);
-        let longest = named.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
-        let deadline = arrived.instant() + longest;
+        let named = named.parse().map_or(DEFAULT_DEADLINE, Duration::from_millis);
+        let deadline = arrived.instant() + named.min(route.timeout);
+        let age = self.patience.age(&route.name, named);
         let payload = match timeout_at(deadline.into(), read(incoming(body), HELD_BYTES)).await {
             Ok(Ok(payload)) => payload,
             Ok(Err(_broken)) => return Err(Reason::BadRequest),
@@ -130,15 +146,17 @@
             method: parts.method,
             idempotent: route.idempotent,
             rank: route.rank,
+            late: age >= route.target,
             arrived,
             deadline,
-            target: arrived.instant() + route.target,
+            target: arrived.instant() + route.target.saturating_sub(age),
             fingerprint,
         };
         Ok(Arrival {
             call,
             payload,
             route: Arc::clone(route),
+            given: named,
         })
     }
 
@@ -172,6 +190,8 @@
             "version" => self.shared.version(),
             "tried" => progress.tried.join(","),
             "sent" => progress.sent,
+            "given_ms" => progress.given_ms,
+            "late" => progress.late,
             "verdict" => %reply.verdict,
             "reason" => reason,
             "status" => status.map(|status| status.as_u16()),
@@ -186,8 +206,8 @@
     }
 }
 
-/// Returns the response that a caller gets for a reply.
-fn respond(reply: Reply) -> Response<Body> {
+/// Returns the response that a caller gets for a reply, with `left` of its time.
+fn respond(reply: Reply, left: Duration) -> Response<Body> {
     if let Some(response) = reply.response {
         return response;
     }
@@ -196,7 +216,13 @@
     *response.status_mut() = status;
     if status == StatusCode::SERVICE_UNAVAILABLE {
         let spread: f64 = rand::random();
-        let seconds = RETRY_AFTER_SECONDS + RETRY_AFTER_SPREAD_SECONDS * spread;
+        let seconds = match reply.reason {
+            Some(Reason::NoRoom | Reason::QueueFull | Reason::Deadline) => {
+                let part = RETRY_AFTER_PART + RETRY_AFTER_SPREAD_PART * spread;
+                left.as_secs_f64() * part
+            }
+            _ => RETRY_AFTER_SECONDS + RETRY_AFTER_SPREAD_SECONDS * spread,
+        };
         if let Ok(value) = HeaderValue::try_from(format!("{seconds:.2}")) {
             response.headers_mut().insert(RETRY_AFTER, value);
         }
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -12,7 +12,6 @@
     header::HeaderValue,
 };
 use lentilshunt_core::{
-    admission::Turn,
     quarantine::{Admittance, Suspects},
     verdict::{Reason, Verdict},
 };
@@ -107,11 +106,7 @@
         if let Err(reason) = self.admit(call) {
             return Reply::refused(reason);
         }
-        let turn = Turn {
-            rank: call.rank,
-            deadline: call.deadline,
-        };
-        let slot = match self.gate.check_and_enter(turn).await {
+        let slot = match self.gate.check_and_enter(call.turn()).await {
             Ok(slot) => slot,
             Err(reason) => return Reply::refused(reason),
         };
--- a/crates/lentilshunt-node/src/relay/head.rs
+++ b/crates/lentilshunt-node/src/relay/head.rs
@@ -22,9 +22,10 @@
 #[must_use]
 pub fn write_call(call: &Call, version: VersionId) -> Option<(&'static str, HeaderValue)> {
     let kind = if call.idempotent { 'i' } else { 'n' };
+    let age = if call.late { 'l' } else { 'p' };
     let target = call.target.saturating_duration_since(Instant::now());
     let text = format!(
-        "{} {} {kind} {} {} {} {version} {:x}",
+        "{} {} {kind} {age} {} {} {} {version} {:x}",
         call.service,
         call.caller,
         call.rank,
@@ -54,6 +55,11 @@
         "n" => false,
         _ => return None,
     };
+    let late = match parts.next()? {
+        "l" => true,
+        "p" => false,
+        _ => return None,
+    };
     let rank = parts.next()?.parse().ok()?;
     let deadline = arrived.instant() + Duration::from_millis(parts.next()?.parse().ok()?);
     let target = arrived.instant() + Duration::from_millis(parts.next()?.parse().ok()?);
@@ -71,6 +77,7 @@
         arrived,
         deadline,
         target,
+        late,
         fingerprint,
     };
     Some((call, version))
--- /dev/null
+++ b/crates/lentilshunt-node/src/relay/patience.rs
@@ -0,0 +1,34 @@
+//! How long callers have waited before they sent a request again.
+
+use std::{
+    collections::HashMap,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+/// Routes whose callers are remembered.
+const MAX_ROUTES: usize = 256;
+
+/// Longest time that callers of each route have given a request.
+///
+/// A caller that repeats a request gives it what is left of its time, so the
+/// difference is how long the caller has waited already.
+#[derive(Debug, Default)]
+pub struct Patience {
+    longest: Mutex<HashMap<String, Duration>>,
+}
+
+impl Patience {
+    /// Returns how long a caller has waited that gives a request `named` time.
+    pub fn age(&self, route: &str, named: Duration) -> Duration {
+        let mut routes = self.longest.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(longest) = routes.get_mut(route) {
+            *longest = named.max(*longest);
+            return *longest - named;
+        }
+        if routes.len() < MAX_ROUTES {
+            routes.insert(route.to_owned(), named);
+        }
+        Duration::ZERO
+    }
+}
--- a/crates/lentilshunt-node/src/relay/server.rs
+++ b/crates/lentilshunt-node/src/relay/server.rs
@@ -104,10 +104,13 @@
             };
             match accepted {
                 Ok((stream, _peer)) => {
-                    let handler = Arc::clone(&self.handler);
-                    let busy = Arc::clone(&self.busy);
-                    let serving = connection(stream, handler, self.allowance, busy, stop.clone());
-                    connections.spawn(serving);
+                    let accepted = Accepted {
+                        stream,
+                        handler: Arc::clone(&self.handler),
+                        allowance: self.allowance,
+                        busy: Arc::clone(&self.busy),
+                    };
+                    connections.spawn(connection(accepted, stop.clone()));
                 }
                 Err(_exhausted) => tokio::time::sleep(ACCEPT_PAUSE).await,
             }
@@ -134,13 +137,21 @@
     }
 }
 
-async fn connection(
+/// A connection of a client, and what answers its requests.
+struct Accepted {
     stream: TcpStream,
     handler: Arc<dyn Handler>,
     allowance: Allowance,
     busy: Arc<AtomicUsize>,
-    stop: Stop,
-) {
+}
+
+async fn connection(accepted: Accepted, stop: Stop) {
+    let Accepted {
+        stream,
+        handler,
+        allowance,
+        busy,
+    } = accepted;
     if prepare(&stream).is_err() {
         return;
     }
