perf(relay): let late repeats queue in their own region only

Cause: a late repeat that met no room near was refused at once, although its own region would have answered it in time.

--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -12,7 +12,7 @@
     membership::Endpoint,
     quarantine::{Admittance, Suspects},
     retry::Share,
-    routing::{Choice, Local, Observations, Outcome, Place, Policy, Route, Selection},
+    routing::{Choice, Local, Observations, Outcome, Policy, Selection},
     verdict::{Reason, Verdict},
 };
 use tokio::time::timeout_at;
@@ -135,7 +135,13 @@
             return Err(Reason::Quarantined);
         }
         let directory = self.shared.directory.load();
-        let route = directory.route(&call.service).ok_or(Reason::NoEndpoint)?;
+        let route = if call.late {
+            // The bytes between regions cost more than a late answer is worth.
+            directory.home(&call.service)
+        } else {
+            directory.route(&call.service)
+        };
+        let route = route.ok_or(Reason::NoEndpoint)?;
         let selection = Selection {
             service: &call.service,
             route,
@@ -145,25 +151,12 @@
             random: rand::random(),
         };
         match self.policy.choose(&selection) {
-            Choice::Endpoint(endpoint) if self.is_too_far(call, &endpoint, route) => {
-                Err(Reason::NoRoom)
-            }
             Choice::Endpoint(endpoint) => Ok(endpoint),
             Choice::Full => Err(Reason::NoRoom),
             Choice::Absent => Err(Reason::NoEndpoint),
         }
     }
 
-    /// Returns whether a late call would leave a region that has endpoints of its own.
-    ///
-    /// The bytes between regions cost more than a late answer is worth.
-    fn is_too_far(&self, call: &Call, endpoint: &Endpoint, route: &Route) -> bool {
-        let away = Place::DISTANCES - 1;
-        call.late
-            && self.shared.place.distance(endpoint) == away
-            && route.tiers[..away].iter().any(|tier| !tier.is_empty())
-    }
-
     async fn attempt(&self, endpoint: &Arc<Endpoint>, call: &Call, body: Body) -> Reply {
         let observed = self.observations.begin(endpoint, Instant::now());
         let execution = async {
--- a/crates/lentilshunt-node/src/relay/shared.rs
+++ b/crates/lentilshunt-node/src/relay/shared.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     services: HashMap<ServiceId, Route>,
+    /// Routes without other regions, for services with an endpoint in the own region.
+    homes: HashMap<ServiceId, Route>,
     nodes: usize,
 }
 
@@ -60,12 +62,23 @@
                 });
             route.tiers[place.distance(endpoint)].push(Arc::clone(endpoint));
         }
+        let homes = services
+            .iter()
+            .filter_map(|(service, route)| Some((service.clone(), home(route)?)))
+            .collect();
         Self {
             services,
+            homes,
             nodes: endpoints.len(),
         }
     }
 
+    /// Returns the endpoints of a service in the own region, or all if there is none.
+    #[must_use]
+    pub fn home(&self, service: &str) -> Option<&Route> {
+        self.homes.get(service).or_else(|| self.route(service))
+    }
+
     /// Returns the endpoints of a service, if any is known.
     #[must_use]
     pub fn route(&self, service: &str) -> Option<&Route> {
@@ -84,6 +97,13 @@
     }
 }
 
+/// Returns a route without other regions, unless nothing is left of it.
+fn home(route: &Route) -> Option<Route> {
+    let mut home = route.clone();
+    home.tiers[Place::DISTANCES - 1].clear();
+    (!home.is_empty()).then_some(home)
+}
+
 impl Shared {
     /// Returns the version in force; 0 before the first.
     #[must_use]
