feat(relay): ask silent nodes for their presence, take state from neighbours

Cause: a node that started while the store was down had no rules and refused everything until it was back; an idempotent request waited on a frozen or dark node until its deadline; a lost node was tried three times before it was left alone; nobody was told of requests that crash upstreams.

--- a/crates/lentilshunt-core/src/routing/observation.rs
+++ b/crates/lentilshunt-core/src/routing/observation.rs
@@ -164,7 +164,8 @@
                 self.drained.store(Some(Arc::clone(endpoint)));
                 self.drained_until.set(now + DRAINING_TIME);
             }
-            Outcome::Failed => self.fail(now),
+            Outcome::Failed => self.fail(now, FAILURES_TO_EJECT),
+            Outcome::Lost => self.fail(now, 1),
         }
     }
 
@@ -209,11 +210,12 @@
         }
     }
 
-    fn fail(&self, now: Instant) {
+    /// Counts a failure, of which `limit` in a row eject the endpoint.
+    fn fail(&self, now: Instant, limit: u32) {
         let failures = self.failures.fetch_add(1, Ordering::Relaxed) + 1;
         let ejections = self.ejections.load(Ordering::Relaxed);
         let failed_trial = ejections > 0 && !self.ejected_until.is_after(now);
-        let first_ejection = ejections == 0 && failures >= FAILURES_TO_EJECT;
+        let first_ejection = ejections == 0 && failures >= limit;
         if failed_trial || first_ejection {
             let doublings = ejections.min(MAX_DOUBLINGS);
             self.ejections.store(ejections + 1, Ordering::Relaxed);
--- a/crates/lentilshunt-core/src/routing/outcome.rs
+++ b/crates/lentilshunt-core/src/routing/outcome.rs
@@ -13,6 +13,8 @@
     Draining,
     /// The endpoint or the way to it failed.
     Failed,
+    /// The node beside the endpoint cannot be reached, or has no upstream.
+    Lost,
 }
 
 impl Outcome {
--- a/crates/lentilshunt-core/src/traffic/split.rs
+++ b/crates/lentilshunt-core/src/traffic/split.rs
@@ -42,7 +42,7 @@
             return None;
         }
         let near = total * STEP_NUMERATOR / STEP_DENOMINATOR;
-        let step = (near.max(1)..).find(|step| divisor(*step, total) == 1)?;
+        let step = (near.max(1)..=total + 1).find(|step| divisor(*step, total) == 1)?;
         Some(Self {
             parts,
             total,
--- a/crates/lentilshunt-net/src/log/mod.rs
+++ b/crates/lentilshunt-net/src/log/mod.rs
@@ -17,11 +17,7 @@
 ///
 /// Lines are written by a thread of their own. Those that find its queue full
 /// are dropped and counted, so that no caller waits for the stream.
-pub fn logger_to(
-    stream: impl Write + Send + 'static,
-    settings: &Log,
-    process: &str,
-) -> Logger {
+pub fn logger_to(stream: impl Write + Send + 'static, settings: &Log, process: &str) -> Logger {
     let level = level(settings.level);
     let process = process.to_owned();
     let drain: Box<dyn Drain<Ok = (), Err = slog::Never> + Send> = match settings.format {
--- a/crates/lentilshunt-node/src/executor/gate.rs
+++ b/crates/lentilshunt-node/src/executor/gate.rs
@@ -83,10 +83,7 @@
     /// # Errors
     ///
     /// Returns the errors of [`Gate::check`] and [`Gate::enter`].
-    pub(crate) async fn check_and_enter(
-        self: &Arc<Self>,
-        turn: Turn,
-    ) -> Result<Slot, Reason> {
+    pub(crate) async fn check_and_enter(self: &Arc<Self>, turn: Turn) -> Result<Slot, Reason> {
         self.check(turn)?;
         self.enter(turn).await
     }
--- a/crates/lentilshunt-node/src/executor/mod.rs
+++ b/crates/lentilshunt-node/src/executor/mod.rs
@@ -16,10 +16,10 @@
 
 pub use backend::Backend;
 pub use claims::{Asker, Claimant, Plan, Sweeper, Wire};
+pub(crate) use gate::Gate;
 pub use local::Local;
 pub(crate) use local::split;
 pub use pooled::Pooled;
-pub(crate) use gate::Gate;
 use runner::Runner;
 pub use upstream::Upstream;
 
--- a/crates/lentilshunt-node/src/executor/runner.rs
+++ b/crates/lentilshunt-node/src/executor/runner.rs
@@ -149,7 +149,9 @@
             return self.admit(deadline).await.map_err(Reply::refused);
         };
         self.ready().map_err(Reply::refused)?;
-        self.gate.check(Turn::by(deadline)).map_err(Reply::refused)?;
+        self.gate
+            .check(Turn::by(deadline))
+            .map_err(Reply::refused)?;
         self.claim(call, key, attempt).await?;
         self.enter(deadline).await.map_err(Reply::refused)
     }
--- a/crates/lentilshunt-node/src/fleet/follow.rs
+++ b/crates/lentilshunt-node/src/fleet/follow.rs
@@ -8,6 +8,7 @@
 use tokio::{sync::watch, time::sleep};
 
 use super::{Change, Error, Rows};
+use crate::relay::Newest;
 
 /// First pause after the store did not answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -41,7 +42,7 @@
 pub async fn follow(
     rows: &dyn Rows,
     subject: Subject<'_>,
-    mut newest: Option<watch::Receiver<VersionId>>,
+    mut newest: Option<watch::Receiver<Newest>>,
     log: &Logger,
     mut take: impl FnMut(News) -> VersionId,
 ) {
@@ -99,9 +100,12 @@
 }
 
 /// Waits until another node has a version above the held one.
-async fn overtaken(newest: &mut Option<watch::Receiver<VersionId>>, held: VersionId) {
+async fn overtaken(newest: &mut Option<watch::Receiver<Newest>>, held: VersionId) {
     if let Some(newest) = newest
-        && newest.wait_for(|version| *version > held).await.is_ok()
+        && newest
+            .wait_for(|newest| newest.version > held)
+            .await
+            .is_ok()
     {
         return;
     }
--- a/crates/lentilshunt-node/src/fleet/rules.rs
+++ b/crates/lentilshunt-node/src/fleet/rules.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use lentilshunt_core::id::VersionId;
 use slog::{info, warn};
 
@@ -30,21 +31,24 @@
     /// Takes what was read of the table and returns the version in force.
     pub fn take(&self, news: News) -> VersionId {
         let (News::All(changes) | News::Some(changes)) = news;
-        let own = changes.into_iter().rev().find(|change| change.key == self.key);
+        let own = changes
+            .into_iter()
+            .rev()
+            .find(|change| change.key == self.key);
         if let Some(Change {
             value: Some(value), ..
         }) = own
         {
-            self.install(&value);
+            self.install(value);
         }
         self.shared.version()
     }
 
     /// Puts a version in force if it can be read and is newer.
-    fn install(&self, bytes: &[u8]) {
+    pub fn install(&self, bytes: Bytes) {
         let log = &self.shared.log;
         let held = self.shared.version();
-        let rules = match self.translator.rules(bytes, rand::random()) {
+        let rules = match self.translator.rules(&bytes, rand::random()) {
             Ok(rules) => rules,
             Err(error) => {
                 metrics::counter!("lentilshunt_versions_refused_total").increment(1);
@@ -56,8 +60,9 @@
         if version <= held {
             return;
         }
+        self.shared.content.store(Arc::new(bytes));
         self.shared.rules.store(Arc::new(rules));
-        self.shared.learn(version);
+        self.shared.learn(version, None);
         metrics::counter!("lentilshunt_versions_installed_total").increment(1);
         info!(log, "version in force"; "version" => version, "before" => held);
     }
--- a/crates/lentilshunt-node/src/fleet/shell.rs
+++ b/crates/lentilshunt-node/src/fleet/shell.rs
@@ -26,14 +26,18 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    Book, Health, Installer, Publisher, Reports, Rows, Site, Translator,
+    Book, Health, Installer, Neighbour, Publisher, Reports, Rows, Site, Translator,
     follow::{Subject, follow},
     metrics::Metrics,
 };
 use crate::relay::{
-    Allowance, Directory, Dispatcher, Entry, Executor, Handler, Inbound, Server, Shared,
+    Allowance, Directory, Dispatcher, Entry, Executor, Handler, Inbound, Pool, Server, Shared,
 };
 
+/// Longest wait for a connection to another node.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for which an idle connection to another node is kept.
+const IDLE_TIME: Duration = Duration::from_secs(10);
 /// Pause after a version in which further ones gather.
 const GATHER_RULES: Duration = Duration::from_millis(600);
 /// Longest wait of one call for a new version.
@@ -70,19 +74,28 @@
     let site = sites.borrow_and_update().clone();
     let shared = Arc::new(share(&site, log.clone()));
     let suspects = Arc::new(Suspects::new(Instant::now()));
+    let pool = Arc::new(Pool::new(CONNECT_TIMEOUT, IDLE_TIME));
     let executor = Arc::new(Executor::new(
+        &shared,
         site.upstream,
-        site.dialect.clone(),
         site.report_interval,
         Arc::clone(&suspects),
+        Arc::clone(&pool),
     ));
     let dispatcher = Dispatcher::new(
         Arc::clone(&shared),
         Arc::clone(&executor),
         Arc::clone(&suspects),
+        Arc::clone(&pool),
     );
     let entry = Entry::new(Arc::clone(&shared), Arc::new(dispatcher));
-    let inbound = Inbound::new(Arc::clone(&shared), Arc::clone(&executor), suspects, stop.clone());
+    let inbound = Inbound::new(
+        Arc::clone(&shared),
+        Arc::clone(&executor),
+        suspects,
+        site.listen.peers.port(),
+        stop.clone(),
+    );
     let (records, published) = watch::channel(None);
     let incarnation = rand::random::<u32>().into();
     let owner = Owner::new(&site.place, site.listen.peers.to_string(), incarnation);
@@ -106,22 +119,24 @@
     let health = Health::new(Arc::clone(&shared), stop.clone());
     let health = serve(listen.readiness, Arc::new(health), &open).await?;
     let scrape = serve(listen.metrics, Arc::new(Metrics(metrics)), &open).await?;
+    let (rules_table, rules_key) = site.rules_row.clone();
+    let installer = Installer::new(Arc::clone(&shared), translator, rules_key);
+    let installer = Arc::new(installer);
     let control = [
         tokio::spawn(follow_rules(
             Arc::clone(&shared),
             Arc::clone(&rows),
-            translator,
-            site.rules_row.clone(),
+            Arc::clone(&installer),
+            rules_table,
         )),
+        tokio::spawn(Neighbour::new(Arc::clone(&shared), installer, pool).run()),
         tokio::spawn(follow_records(
             Arc::clone(&shared),
             Arc::clone(&rows),
             site.nodes_table.clone(),
         )),
         tokio::spawn(apply(Arc::clone(&shared), sites)),
-        tokio::spawn(
-            Publisher::new(rows, site.nodes_table.clone(), log.clone()).run(published),
-        ),
+        tokio::spawn(Publisher::new(rows, site.nodes_table.clone(), log.clone()).run(published)),
     ];
     info!(log, "node started"; "service" => &site.service, "domain" => &site.place.domain);
 
@@ -137,7 +152,10 @@
     if timeout_at(given_up_at.into(), drained).await.is_err() {
         warn!(log, "requests in flight at the end of the grace period");
     }
-    for task in control.into_iter().chain([admin, health, scrape].map(|task| task.running)) {
+    for task in control
+        .into_iter()
+        .chain([admin, health, scrape].map(|task| task.running))
+    {
         task.abort();
     }
     info!(log, "node stopped");
@@ -177,7 +195,8 @@
         allowance: ArcSwap::from_pointee(site.allowance),
         rules: ArcSwap::from_pointee(Rules::default()),
         directory: ArcSwap::from_pointee(Directory::default()),
-        newest: watch::Sender::new(0),
+        newest: watch::Sender::default(),
+        content: ArcSwap::default(),
         log,
     }
 }
@@ -195,17 +214,19 @@
 async fn follow_rules(
     shared: Arc<Shared>,
     rows: Arc<dyn Rows>,
-    translator: Arc<dyn Translator>,
-    (table, key): (String, String),
+    installer: Arc<Installer>,
+    table: String,
 ) {
-    let installer = Installer::new(Arc::clone(&shared), translator, key);
     let subject = Subject {
         table: &table,
         gather: GATHER_RULES,
         wait: WAIT_RULES,
     };
     let newest = Some(shared.newest.subscribe());
-    follow(&*rows, subject, newest, &shared.log, |news| installer.take(news)).await;
+    follow(&*rows, subject, newest, &shared.log, |news| {
+        installer.take(news)
+    })
+    .await;
 }
 
 async fn follow_records(shared: Arc<Shared>, rows: Arc<dyn Rows>, table: String) {
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -2,11 +2,12 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
-use hyper::{Request, StatusCode, header::HeaderValue};
+use hyper::{Request, StatusCode, Uri, header::HeaderValue};
 use lentilshunt_core::{
     id::{InstanceId, ServiceId},
     membership::Endpoint,
@@ -15,19 +16,22 @@
     routing::{Choice, Local, Observations, Outcome, Policy, Selection},
     verdict::{Reason, Verdict},
 };
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 
 use super::{
     Call, Executor, Reply, Shared,
-    body::{Body, Payload, read},
+    body::{Body, Payload, empty, read},
     head::{read_reply, write_call},
+    inbound::PRESENCE,
     pool::Pool,
 };
 
-/// Longest wait for a connection to another node.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time for which an idle connection to another node is kept.
-const IDLE_TIME: Duration = Duration::from_secs(10);
+/// Time after which a node that answers nothing is asked whether it answers at all.
+const SILENCE: Duration = Duration::from_millis(350);
+/// Longest wait for the answer whether a node answers at all.
+const PRESENCE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Nodes whose last answer is remembered.
+const MAX_HEARD: usize = 4096;
 /// Largest answer that is held whole before its head is passed on, in bytes.
 ///
 /// A broken answer of up to this size can still be replaced by another attempt.
@@ -43,7 +47,8 @@
 pub struct Dispatcher {
     shared: Arc<Shared>,
     executor: Arc<Executor>,
-    pool: Pool,
+    pool: Arc<Pool>,
+    heard: Mutex<HashMap<SocketAddr, Instant>>,
     policy: Box<dyn Policy>,
     observations: Observations,
     suspects: Arc<Suspects>,
@@ -68,11 +73,17 @@
 impl Dispatcher {
     /// Creates a dispatcher that has observed nothing.
     #[must_use]
-    pub fn new(shared: Arc<Shared>, executor: Arc<Executor>, suspects: Arc<Suspects>) -> Self {
+    pub fn new(
+        shared: Arc<Shared>,
+        executor: Arc<Executor>,
+        suspects: Arc<Suspects>,
+        pool: Arc<Pool>,
+    ) -> Self {
         Self {
             shared,
             executor,
-            pool: Pool::new(CONNECT_TIMEOUT, IDLE_TIME),
+            pool,
+            heard: Mutex::default(),
             policy: Box::new(Local),
             observations: Observations::new(Instant::now()),
             suspects,
@@ -99,7 +110,9 @@
         loop {
             let endpoint = match self.choose(call, progress) {
                 Ok(endpoint) => endpoint,
-                Err(reason) => return finish(last.unwrap_or_else(|| Reply::refused(reason)), progress),
+                Err(reason) => {
+                    return finish(last.unwrap_or_else(|| Reply::refused(reason)), progress);
+                }
             };
             let Some(body) = Payload::take(&mut payload) else {
                 let reply = last.unwrap_or_else(|| Reply::refused(Reason::NoEndpoint));
@@ -175,7 +188,7 @@
         let outcome = outcome(&reply);
         observed.end(outcome, reply.room, Instant::now());
         if let Some(version) = reply.version {
-            self.shared.learn(version);
+            self.shared.learn(version, Some(endpoint.address));
         }
         reply
     }
@@ -185,8 +198,17 @@
         let Some(request) = self.request(call, body) else {
             return Reply::refused(Reason::BadRequest);
         };
-        match self.pool.send(endpoint.address, request).await {
+        let address = endpoint.address;
+        let sent = tokio::select! {
+            biased;
+            sent = self.pool.send(address, request) => sent,
+            () = self.absent(address), if call.idempotent => {
+                return Reply::unknown(Reason::ConnectionLost);
+            }
+        };
+        match sent {
             Ok(response) => {
+                self.hear(address);
                 read_reply(response).unwrap_or_else(|| Reply::unknown(Reason::BadAnswer))
             }
             Err(failure) if failure.verdict() == Verdict::NotRun => {
@@ -196,6 +218,37 @@
         }
     }
 
+    /// Waits until a node neither answers a request nor whether it is there.
+    async fn absent(&self, address: SocketAddr) {
+        let since = Instant::now();
+        sleep(SILENCE).await;
+        loop {
+            if self.heard(address).is_none_or(|heard_at| heard_at < since) {
+                let mut request = Request::new(empty());
+                *request.uri_mut() = Uri::from_static(PRESENCE);
+                let until = Instant::now() + PRESENCE_TIMEOUT;
+                let asked = timeout_at(until.into(), self.pool.send(address, request)).await;
+                match asked {
+                    Ok(Ok(_present)) => self.hear(address),
+                    Ok(Err(_)) | Err(_) => return,
+                }
+            }
+            sleep(SILENCE * 2).await;
+        }
+    }
+
+    fn heard(&self, address: SocketAddr) -> Option<Instant> {
+        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        heard.get(&address).copied()
+    }
+
+    fn hear(&self, address: SocketAddr) {
+        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        if heard.len() < MAX_HEARD || heard.contains_key(&address) {
+            heard.insert(address, Instant::now());
+        }
+    }
+
     fn request(&self, call: &Call, body: Body) -> Option<Request<Body>> {
         let mut request = Request::new(body);
         *request.method_mut() = call.method.clone();
@@ -225,9 +278,11 @@
     let response = reply.response.as_ref();
     let has_failed = response.is_some_and(|response| FAILURES.contains(&response.status()));
     if has_refused || has_failed {
-        Outcome::Failed
-    } else {
-        Outcome::new(reply.verdict, reply.reason)
+        return Outcome::Failed;
+    }
+    match reply.reason {
+        Some(Reason::Unreachable | Reason::NotReady | Reason::ConnectionLost) => Outcome::Lost,
+        reason => Outcome::new(reply.verdict, reason),
     }
 }
 
--- a/crates/lentilshunt-node/src/relay/entry.rs
+++ b/crates/lentilshunt-node/src/relay/entry.rs
@@ -126,7 +126,9 @@
             return Err(Reason::TooLarge);
         }
         let named = text(&parts.headers, self.shared.dialect.deadline_ms.as_str());
-        let named = named.parse().map_or(DEFAULT_DEADLINE, Duration::from_millis);
+        let named = named
+            .parse()
+            .map_or(DEFAULT_DEADLINE, Duration::from_millis);
         let deadline = arrived.instant() + named.min(route.timeout);
         let age = self.patience.age(&route.name, named);
         let payload = match timeout_at(deadline.into(), read(incoming(body), HELD_BYTES)).await {
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -7,18 +7,16 @@
 };
 
 use arc_swap::ArcSwapOption;
-use hyper::{
-    HeaderMap, Request, Response, StatusCode,
-    header::HeaderValue,
-};
+use hyper::{HeaderMap, Request, Response, StatusCode, header::HeaderValue};
 use lentilshunt_core::{
+    id::InstanceId,
     quarantine::{Admittance, Suspects},
     verdict::{Reason, Verdict},
 };
 use lentilshunt_schema::peer::Phase;
 
 use super::{
-    Call, Dialect, Reply,
+    Call, Dialect, Herald, Reply, Shared,
     body::Body,
     guarded,
     pool::Pool,
@@ -45,27 +43,33 @@
     gate: Arc<Gate>,
     pool: Pool,
     suspects: Arc<Suspects>,
+    instance: InstanceId,
+    herald: Herald,
 }
 
 impl Executor {
     /// Creates an executor that has not heard of its upstream.
     ///
-    /// `interval` is the time between two reports of the upstream.
+    /// `interval` is the time between two reports of the upstream. Other nodes
+    /// are told of crashes through `peers`.
     #[must_use]
     pub fn new(
+        shared: &Arc<Shared>,
         address: SocketAddr,
-        dialect: Dialect,
         interval: Duration,
         suspects: Arc<Suspects>,
+        peers: Arc<Pool>,
     ) -> Self {
         Self {
             address,
-            dialect,
+            dialect: shared.dialect.clone(),
             interval,
             upstream: ArcSwapOption::empty(),
             gate: Arc::new(Gate::new(QUEUE)),
             pool: Pool::new(CONNECT_TIMEOUT, IDLE_TIME),
             suspects,
+            instance: shared.place.instance.clone(),
+            herald: Herald::new(Arc::clone(shared), peers),
         }
     }
 
@@ -127,12 +131,11 @@
             Err(failure) if failure.verdict() == Verdict::NotRun => {
                 return Reply::refused(Reason::Unreachable);
             }
-            Err(_broken) => {
-                return Reply::unknown(Reason::UpstreamLost);
-            }
+            Err(_broken) => return self.lost(call).await,
         };
         let reply = self.classify(call, response);
         if reply.verdict == Verdict::Ran {
+            self.suspects.clear(call.fingerprint, Instant::now());
             self.gate.observe(started_at);
         }
         Reply {
@@ -143,6 +146,19 @@
         }
     }
 
+    /// Returns the reply to a call whose connection broke, and tells of a crash.
+    async fn lost(&self, call: &Call) -> Reply {
+        if !self.herald.has_crashed(self.address).await {
+            return Reply::unknown(Reason::ConnectionLost);
+        }
+        let instance = &self.instance;
+        let now = Instant::now();
+        if let Some(suspicion) = self.suspects.lose(call.fingerprint, instance, now) {
+            self.herald.tell(call, &suspicion);
+        }
+        Reply::unknown(Reason::UpstreamLost)
+    }
+
     /// Returns the upstream if a call may run on it.
     fn admit(&self, call: &Call) -> Result<Arc<Upstream>, Reason> {
         let now = Instant::now();
--- a/crates/lentilshunt-node/src/relay/inbound.rs
+++ b/crates/lentilshunt-node/src/relay/inbound.rs
@@ -1,6 +1,6 @@
 //! Answers the calls and notices of other nodes.
 
-use std::{sync::Arc, time::Instant};
+use std::{net::SocketAddr, sync::Arc, time::Instant};
 
 use hyper::{Request, Response, body::Incoming};
 use lentilshunt_core::{
@@ -11,12 +11,14 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    Executor, Reply, Shared,
-    body::{Body, Payload, empty, incoming, read},
+    Executor, Reply, Shared, State,
+    body::{Body, Payload, empty, incoming, read, whole},
     head::{read_call, write_reply},
-    server::Handler,
+    server::{Client, Handler},
 };
 
+/// Path at which a node is asked whether it answers at all.
+pub(super) const PRESENCE: &str = "/.lentilshunt/presence";
 /// Path to which suspicions are sent.
 pub(super) const SUSPICIONS: &str = "/.lentilshunt/suspicions";
 /// Largest notice of another node, in bytes.
@@ -28,31 +30,39 @@
     shared: Arc<Shared>,
     executor: Arc<Executor>,
     suspects: Arc<Suspects>,
+    port: u16,
     stop: CancellationToken,
 }
 
 impl Inbound {
     /// Creates the handler; calls that arrive after `stop` are refused.
+    ///
+    /// `port` is the one at which all nodes listen for each other.
     #[must_use]
     pub fn new(
         shared: Arc<Shared>,
         executor: Arc<Executor>,
         suspects: Arc<Suspects>,
+        port: u16,
         stop: CancellationToken,
     ) -> Self {
         Self {
             shared,
             executor,
             suspects,
+            port,
             stop,
         }
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let Some((call, version)) = read_call(&request, &self.shared.dialect.request) else {
-            return self.learn(request).await;
+            return self.control(request).await;
         };
-        self.shared.learn(version);
+        let client = request.extensions().get::<Client>();
+        // Every node of a deployment listens on the same port.
+        let node = client.map(|Client(from)| SocketAddr::new(from.ip(), self.port));
+        self.shared.learn(version, node);
         let reply = if self.stop.is_cancelled() {
             Reply::refused(Reason::Draining)
         } else {
@@ -62,8 +72,14 @@
         write_reply(reply, self.executor.room(), self.shared.version())
     }
 
-    /// Takes the suspicions of another node.
-    async fn learn(&self, request: Request<Incoming>) -> Response<Body> {
+    /// Takes the suspicions of another node, or tells it the state of this one.
+    async fn control(&self, request: Request<Incoming>) -> Response<Body> {
+        if request.uri().path() == State::PATH {
+            return Response::new(whole(State::of(&self.shared).encode()));
+        }
+        if request.uri().path() == PRESENCE {
+            return Response::new(empty());
+        }
         if request.uri().path() == SUSPICIONS {
             let body = read(incoming(request.into_body()), NOTICE_BYTES).await;
             if let Ok(Payload::Whole(bytes)) = body {
--- a/crates/lentilshunt-node/src/relay/pool.rs
+++ b/crates/lentilshunt-node/src/relay/pool.rs
@@ -202,7 +202,9 @@
         if has(&CONNECTION, "close") {
             return None;
         }
-        let value = headers.get(&KEEP_ALIVE).and_then(|value| value.to_str().ok());
+        let value = headers
+            .get(&KEEP_ALIVE)
+            .and_then(|value| value.to_str().ok());
         let told = value
             .into_iter()
             .flat_map(|value| value.split(','))
--- a/crates/lentilshunt-node/src/relay/server.rs
+++ b/crates/lentilshunt-node/src/relay/server.rs
@@ -37,6 +37,10 @@
     fn handle(&self, request: Request<Incoming>) -> Pending<'_, Response<Body>>;
 }
 
+/// Address of the client, among the extensions of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Client(pub SocketAddr);
+
 /// What a server allows its clients.
 #[derive(Clone, Copy, Debug)]
 pub struct Allowance {
@@ -103,9 +107,10 @@
                 () = stop.closed.cancelled() => break,
             };
             match accepted {
-                Ok((stream, _peer)) => {
+                Ok((stream, address)) => {
                     let accepted = Accepted {
                         stream,
+                        client: Client(address),
                         handler: Arc::clone(&self.handler),
                         allowance: self.allowance,
                         busy: Arc::clone(&self.busy),
@@ -140,6 +145,7 @@
 /// A connection of a client, and what answers its requests.
 struct Accepted {
     stream: TcpStream,
+    client: Client,
     handler: Arc<dyn Handler>,
     allowance: Allowance,
     busy: Arc<AtomicUsize>,
@@ -148,6 +154,7 @@
 async fn connection(accepted: Accepted, stop: Stop) {
     let Accepted {
         stream,
+        client,
         handler,
         allowance,
         busy,
@@ -155,7 +162,8 @@
     if prepare(&stream).is_err() {
         return;
     }
-    let service = service_fn(|request| {
+    let service = service_fn(|mut request: Request<Incoming>| {
+        request.extensions_mut().insert(client);
         let handler = Arc::clone(&handler);
         let leaving = &stop.leaving;
         let busy = Busy::new(&busy);
--- a/crates/lentilshunt-node/src/relay/shared.rs
+++ b/crates/lentilshunt-node/src/relay/shared.rs
@@ -1,8 +1,9 @@
 //! What all parts of a relaying node share.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use arc_swap::ArcSwap;
+use bytes::Bytes;
 use lentilshunt_core::{
     id::{ServiceId, VersionId},
     membership::{Endpoint, Phase},
@@ -24,6 +25,15 @@
     nodes: usize,
 }
 
+/// The highest version that is known to be in force somewhere.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Newest {
+    /// Number of the version.
+    pub version: VersionId,
+    /// Node that has it in force; none for this one.
+    pub node: Option<SocketAddr>,
+}
+
 /// State shared by the parts of a relaying node.
 #[derive(Debug)]
 pub struct Shared {
@@ -40,7 +50,9 @@
     /// Endpoints known.
     pub directory: ArcSwap<Directory>,
     /// Highest version that this or another node has in force.
-    pub newest: watch::Sender<VersionId>,
+    pub newest: watch::Sender<Newest>,
+    /// Content of the version in force, as the store holds it.
+    pub content: ArcSwap<Bytes>,
     /// Structured log.
     pub log: Logger,
 }
@@ -111,12 +123,13 @@
         self.rules.load().version()
     }
 
-    /// Takes the version that another node has in force.
-    pub fn learn(&self, version: VersionId) {
+    /// Takes the version that a node has in force; none stands for this node.
+    pub fn learn(&self, version: VersionId, node: Option<SocketAddr>) {
         self.newest.send_if_modified(|newest| {
-            let is_newer = version > *newest;
-            if is_newer {
-                *newest = version;
+            let is_newer = version > newest.version;
+            if version >= newest.version {
+                // Of several nodes with the version, the one heard last is asked.
+                *newest = Newest { version, node };
             }
             is_newer
         });
--- /dev/null
+++ b/crates/lentilshunt-node/src/relay/state.rs
@@ -0,0 +1,71 @@
+//! What a node tells another one that cannot reach the store.
+
+use bytes::Bytes;
+use lentilshunt_core::membership::Endpoint;
+use lentilshunt_schema::peer::Record;
+use serde::{Deserialize, Serialize};
+
+use super::Shared;
+
+/// Traffic rules and endpoints that a node has in force.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct State {
+    /// Content of the version in force, as the store holds it; empty before the first.
+    pub rules: Bytes,
+    /// Records of the endpoints that may be called.
+    pub records: Vec<Record>,
+}
+
+impl State {
+    /// Path at which nodes ask each other for their state.
+    pub const PATH: &str = "/.lentilshunt/state";
+    /// Largest state that is taken, in bytes.
+    pub const MAX_BYTES: usize = 8 * 1024 * 1024;
+
+    /// Returns the state of a node.
+    #[must_use]
+    pub fn of(shared: &Shared) -> Self {
+        let directory = shared.directory.load();
+        Self {
+            rules: Bytes::clone(&shared.content.load()),
+            records: directory
+                .endpoints()
+                .map(|endpoint| record(endpoint))
+                .collect(),
+        }
+    }
+
+    /// Encodes the state for another node.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        // A state holds nothing that cannot be encoded.
+        rmp_serde::to_vec_named(self).unwrap_or_default()
+    }
+
+    /// Decodes the state of another node.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the decoder for malformed bytes.
+    pub fn decode(bytes: &[u8]) -> Result<Self, rmp_serde::decode::Error> {
+        rmp_serde::from_slice(bytes)
+    }
+}
+
+/// Returns the record by which an endpoint became known, without its sequences.
+fn record(endpoint: &Endpoint) -> Record {
+    Record {
+        instance: endpoint.instance.clone(),
+        address: endpoint.address.to_string(),
+        region: endpoint.region.clone(),
+        domain: endpoint.domain.clone(),
+        incarnation: endpoint.incarnation,
+        sequence: 0,
+        base: 0,
+        service: endpoint.service.clone(),
+        phase: endpoint.phase,
+        slots: endpoint.slots,
+        reading: 0,
+        room: endpoint.room,
+    }
+}
--- a/crates/lentilshunt-node/src/relay/upstream.rs
+++ b/crates/lentilshunt-node/src/relay/upstream.rs
@@ -82,8 +82,8 @@
         if report.sequence <= old.sequence || goes_back {
             return (Change::Stale, None);
         }
-        let differs = (report.phase, report.slots, &report.service)
-            != (old.phase, old.slots, &old.service);
+        let differs =
+            (report.phase, report.slots, &report.service) != (old.phase, old.slots, &old.service);
         let change = if differs { Change::State } else { Change::None };
         return taken(report, change);
     }
