--- a/crates/lentilshunt-node/src/fleet/health.rs
+++ b/crates/lentilshunt-node/src/fleet/health.rs
@@ -4,7 +4,6 @@
 
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use lentilshunt_net::Pending;
-use tokio_util::sync::CancellationToken;
 
 use crate::relay::{
     Handler, Shared,
@@ -15,18 +14,17 @@
 #[derive(Debug)]
 pub struct Health {
     shared: Arc<Shared>,
-    stop: CancellationToken,
 }
 
 impl Health {
     /// Creates the handler; a node that stops is not ready.
     #[must_use]
-    pub fn new(shared: Arc<Shared>, stop: CancellationToken) -> Self {
-        Self { shared, stop }
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
     }
 
     fn is_ready(&self) -> bool {
-        self.shared.version() > 0 && !self.stop.is_cancelled()
+        self.shared.version() > 0 && !self.shared.stop.is_cancelled()
     }
 }
 
--- a/crates/lentilshunt-node/src/fleet/shell.rs
+++ b/crates/lentilshunt-node/src/fleet/shell.rs
@@ -45,7 +45,7 @@
 /// A call that the store forgot in an outage is noticed earlier by the versions of other nodes.
 const WAIT_RULES: Duration = Duration::from_secs(8);
 /// Pause after changed records in which further ones gather.
-const GATHER_RECORDS: Duration = Duration::from_secs(1);
+const GATHER_RECORDS: Duration = Duration::from_secs(2);
 /// Longest wait of one call for changed records.
 const WAIT_RECORDS: Duration = Duration::from_secs(15);
 /// Time after which a stopping node closes its listeners.
@@ -72,7 +72,7 @@
 ) -> io::Result<()> {
     let metrics = meter::install();
     let site = sites.borrow_and_update().clone();
-    let shared = Arc::new(share(&site, log.clone()));
+    let shared = Arc::new(share(&site, log.clone(), stop.clone()));
     let suspects = Arc::new(Suspects::new(Instant::now()));
     let pool = Arc::new(Pool::new(CONNECT_TIMEOUT, IDLE_TIME));
     let executor = Arc::new(Executor::new(
@@ -94,11 +94,10 @@
         Arc::clone(&executor),
         suspects,
         site.listen.peers.port(),
-        stop.clone(),
     );
     let (records, published) = watch::channel(None);
     let incarnation = rand::random::<u32>().into();
-    let owner = Owner::new(&site.place, site.listen.peers.to_string(), incarnation);
+    let owner = Owner::new(&site.place, site.listen.advertise.to_string(), incarnation);
     let reports = Reports::new(
         Arc::clone(&shared),
         executor,
@@ -116,7 +115,7 @@
     let callers = serve(listen.callers, Arc::new(entry), &closing).await?;
     let peers = serve(listen.peers, Arc::new(inbound), &closing).await?;
     let admin = serve(listen.reports, Arc::new(reports), &open).await?;
-    let health = Health::new(Arc::clone(&shared), stop.clone());
+    let health = Health::new(Arc::clone(&shared));
     let health = serve(listen.readiness, Arc::new(health), &open).await?;
     let scrape = serve(listen.metrics, Arc::new(Metrics(metrics)), &open).await?;
     let (rules_table, rules_key) = site.rules_row.clone();
@@ -187,7 +186,7 @@
     Ok(Running { running, busy })
 }
 
-fn share(site: &Site, log: Logger) -> Shared {
+fn share(site: &Site, log: Logger, stop: CancellationToken) -> Shared {
     Shared {
         place: site.place.clone(),
         service: site.service.clone(),
@@ -197,6 +196,7 @@
         directory: ArcSwap::from_pointee(Directory::default()),
         newest: watch::Sender::default(),
         content: ArcSwap::default(),
+        stop,
         log,
     }
 }
--- a/crates/lentilshunt-node/src/fleet/site.rs
+++ b/crates/lentilshunt-node/src/fleet/site.rs
@@ -13,6 +13,8 @@
     pub callers: SocketAddr,
     /// Address for other nodes.
     pub peers: SocketAddr,
+    /// Address at which other nodes reach this one.
+    pub advertise: SocketAddr,
     /// Address for the reports of the upstream.
     pub reports: SocketAddr,
     /// Address at which the node tells whether it is ready.
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -30,7 +30,9 @@
 /// Time after which a node that answers nothing is asked whether it answers at all.
 const SILENCE: Duration = Duration::from_millis(350);
 /// Longest wait for the answer whether a node answers at all.
-const PRESENCE_TIMEOUT: Duration = Duration::from_millis(250);
+///
+/// A small machine whose share of the processor is used up answers late.
+const PRESENCE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Nodes whose last answer is remembered.
 const MAX_HEARD: usize = 4096;
 /// Largest answer that is held whole before its head is passed on, in bytes.
@@ -203,7 +205,8 @@
         let sent = tokio::select! {
             biased;
             sent = self.pool.send(address, request) => sent,
-            () = self.absent(address), if call.idempotent => {
+            // A stopping node sends nothing again, and ends no answer that may still come.
+            () = self.absent(address), if call.idempotent && !self.shared.stop.is_cancelled() => {
                 return Reply::unknown(Reason::ConnectionLost);
             }
         };
--- a/crates/lentilshunt-node/src/relay/header.rs
+++ b/crates/lentilshunt-node/src/relay/header.rs
@@ -4,8 +4,8 @@
     HeaderMap, Request,
     body::Body as _,
     header::{
-        CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
-        TRAILER, TRANSFER_ENCODING, UPGRADE,
+        CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
     },
 };
 
--- a/crates/lentilshunt-node/src/relay/inbound.rs
+++ b/crates/lentilshunt-node/src/relay/inbound.rs
@@ -8,7 +8,6 @@
     verdict::Reason,
 };
 use lentilshunt_net::Pending;
-use tokio_util::sync::CancellationToken;
 
 use super::{
     Executor, Reply, Shared, State,
@@ -31,11 +30,10 @@
     executor: Arc<Executor>,
     suspects: Arc<Suspects>,
     port: u16,
-    stop: CancellationToken,
 }
 
 impl Inbound {
-    /// Creates the handler; calls that arrive after `stop` are refused.
+    /// Creates the handler; calls of other nodes are refused once the node stops.
     ///
     /// `port` is the one at which all nodes listen for each other.
     #[must_use]
@@ -44,14 +42,12 @@
         executor: Arc<Executor>,
         suspects: Arc<Suspects>,
         port: u16,
-        stop: CancellationToken,
     ) -> Self {
         Self {
             shared,
             executor,
             suspects,
             port,
-            stop,
         }
     }
 
@@ -63,7 +59,7 @@
         // Every node of a deployment listens on the same port.
         let node = client.map(|Client(from)| SocketAddr::new(from.ip(), self.port));
         self.shared.learn(version, node);
-        let reply = if self.stop.is_cancelled() {
+        let reply = if self.shared.stop.is_cancelled() {
             Reply::refused(Reason::Draining)
         } else {
             let body = incoming(request.into_body());
--- a/crates/lentilshunt-node/src/relay/shared.rs
+++ b/crates/lentilshunt-node/src/relay/shared.rs
@@ -13,6 +13,7 @@
 };
 use slog::Logger;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 use super::Dialect;
 
@@ -53,6 +54,8 @@
     pub newest: watch::Sender<Newest>,
     /// Content of the version in force, as the store holds it.
     pub content: ArcSwap<Bytes>,
+    /// Cancelled when the node begins to stop.
+    pub stop: CancellationToken,
     /// Structured log.
     pub log: Logger,
 }
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -25,6 +25,7 @@
 };
 use slog::{Discard, Logger, o};
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 const TABLE: &str = "nodes";
 
@@ -153,6 +154,7 @@
         directory: ArcSwap::from_pointee(Directory::default()),
         newest: watch::Sender::default(),
         content: ArcSwap::default(),
+        stop: CancellationToken::new(),
         log: Logger::root(Discard, o!()),
     })
 }
@@ -200,7 +202,11 @@
         }),
     ];
     store.waits.lock().unwrap().extend(waits);
-    store.rows.lock().unwrap().insert("a".to_owned(), Bytes::from_static(b"1"));
+    store
+        .rows
+        .lock()
+        .unwrap()
+        .insert("a".to_owned(), Bytes::from_static(b"1"));
     let mut seen = Vec::new();
     let log = log();
     let following = follow(&store, SUBJECT, None, &log, |news| {
@@ -210,7 +216,11 @@
         });
         0
     });
-    assert!(tokio::time::timeout(Duration::from_secs(60), following).await.is_err());
+    assert!(
+        tokio::time::timeout(Duration::from_secs(60), following)
+            .await
+            .is_err()
+    );
     let all = (true, vec![changed("a", "1")]);
     let expected = vec![all.clone(), (false, vec![changed("b", "2")]), all];
     assert_eq!(seen, expected);
@@ -240,7 +250,9 @@
 
 fn record(instance: &str, phase: Phase) -> Record {
     let place = Place::new(instance.to_owned(), "yard".to_owned(), "coast".to_owned());
-    let mut record = Owner::new(&place, "10.0.0.1:80".to_owned(), 1).record().clone();
+    let mut record = Owner::new(&place, "10.0.0.1:80".to_owned(), 1)
+        .record()
+        .clone();
     record.service = "bales".to_owned();
     record.phase = phase;
     record
@@ -267,7 +279,10 @@
     book.take(News::All(all));
     let names = || -> Vec<String> {
         let directory = shared.directory.load();
-        directory.endpoints().map(|found| found.instance.clone()).collect()
+        directory
+            .endpoints()
+            .map(|found| found.instance.clone())
+            .collect()
     };
     assert_eq!(names(), ["n1"]);
     assert_eq!(shared.directory.load().nodes(), 2);
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -30,7 +30,8 @@
     Allowance, Dialect, Directory, Dispatcher, Entry, Executor, Handler, Inbound, Pool, Server,
     Shared,
     body::{Body, whole},
-    header, upstream::Report,
+    header,
+    upstream::Report,
 };
 use slog::{Discard, Logger, o};
 use tokio::sync::watch;
@@ -90,7 +91,9 @@
             "shed" => {
                 let mut response = Response::new(whole("full"));
                 *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-                response.headers_mut().insert("not-run", HeaderValue::from_static("1"));
+                response
+                    .headers_mut()
+                    .insert("not-run", HeaderValue::from_static("1"));
                 response
             }
             "broken" => Response::new(broken()),
@@ -258,10 +261,14 @@
         directory: ArcSwap::from_pointee(Directory::default()),
         newest: watch::Sender::default(),
         content: ArcSwap::default(),
+        stop: stop.clone(),
         log: Logger::root(Discard, o!()),
     });
     let suspects = Arc::new(Suspects::new(Instant::now()));
-    let pool = Arc::new(Pool::new(Duration::from_millis(400), Duration::from_secs(5)));
+    let pool = Arc::new(Pool::new(
+        Duration::from_millis(400),
+        Duration::from_secs(5),
+    ));
     let executor = Arc::new(Executor::new(
         &shared,
         address,
@@ -277,13 +284,7 @@
         pool,
     );
     let entry = Entry::new(Arc::clone(&shared), Arc::new(dispatcher));
-    let inbound = Inbound::new(
-        Arc::clone(&shared),
-        Arc::clone(&executor),
-        suspects,
-        0,
-        stop.clone(),
-    );
+    let inbound = Inbound::new(Arc::clone(&shared), Arc::clone(&executor), suspects, 0);
     Node {
         entry: listen(Arc::new(entry), &stop).await,
         peers: listen(Arc::new(inbound), &stop).await,
@@ -330,4 +331,3 @@
     let frames = (0..count).map(move |_| Ok(Frame::data(piece.clone())));
     StreamBody::new(Iter(frames)).boxed_unsync()
 }
-
