--- a/crates/lentilshunt-node/src/fleet/follow.rs
+++ b/crates/lentilshunt-node/src/fleet/follow.rs
@@ -109,7 +109,7 @@
     {
         return;
     }
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
 
 /// Logs that the store was lost or is back.
--- a/crates/lentilshunt-node/src/fleet/publisher.rs
+++ b/crates/lentilshunt-node/src/fleet/publisher.rs
@@ -39,14 +39,13 @@
         loop {
             let record = records.borrow_and_update().clone();
             if let Some(record) = record {
-                match self.write(&record).await {
-                    Ok(()) => pause = FIRST_PAUSE,
-                    Err(()) => {
-                        sleep(pause).await;
-                        pause = (pause * 2).min(LONGEST_PAUSE);
-                        records.mark_changed();
-                        continue;
-                    }
+                if self.write(&record).await {
+                    pause = FIRST_PAUSE;
+                } else {
+                    sleep(pause).await;
+                    pause = (pause * 2).min(LONGEST_PAUSE);
+                    records.mark_changed();
+                    continue;
                 }
             }
             if records.changed().await.is_err() {
@@ -55,24 +54,25 @@
         }
     }
 
-    async fn write(&self, record: &Record) -> Result<(), ()> {
+    /// Writes a record and returns whether nothing is left to do.
+    async fn write(&self, record: &Record) -> bool {
         let value = (record.phase != Phase::Gone).then(|| rmp_serde::to_vec_named(record));
         let value = match value.transpose() {
             Ok(value) => value.map(Into::into),
             Err(error) => {
                 warn!(self.log, "own record cannot be encoded"; "error" => %error);
-                return Ok(());
+                return true;
             }
         };
         match self.rows.write(&self.table, &record.instance, value).await {
             Ok(()) => {
                 info!(self.log, "own record written"; "phase" => %record.phase,
                     "sequence" => record.sequence);
-                Ok(())
+                true
             }
             Err(error) => {
                 warn!(self.log, "own record not confirmed"; "error" => %error);
-                Err(())
+                false
             }
         }
     }
--- a/crates/lentilshunt-node/src/fleet/rules.rs
+++ b/crates/lentilshunt-node/src/fleet/rules.rs
@@ -29,6 +29,7 @@
     }
 
     /// Takes what was read of the table and returns the version in force.
+    #[must_use]
     pub fn take(&self, news: News) -> VersionId {
         let (News::All(changes) | News::Some(changes)) = news;
         let own = changes
--- a/crates/lentilshunt-node/src/relay/body.rs
+++ b/crates/lentilshunt-node/src/relay/body.rs
@@ -117,12 +117,12 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         if let Some(head) = self.head.take() {
             return Poll::Ready(Some(Ok(Frame::data(head))));
         }
-        Pin::new(&mut self.rest).poll_frame(context)
+        Pin::new(&mut self.rest).poll_frame(cx)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/lentilshunt-node/src/relay/entry.rs
+++ b/crates/lentilshunt-node/src/relay/entry.rs
@@ -185,7 +185,7 @@
         if !self.journal.admits(level, Instant::now(), &self.shared.log) {
             return;
         }
-        let status = reply.response.as_ref().map(|response| response.status());
+        let status = reply.response.as_ref().map(Response::status);
         info!(self.shared.log, "request ended";
             "request" => id,
             "route" => route.map(|route| route.name.as_str()),
--- a/crates/lentilshunt-node/src/relay/guarded.rs
+++ b/crates/lentilshunt-node/src/relay/guarded.rs
@@ -35,9 +35,9 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
-        let polled = Pin::new(&mut self.body).poll_frame(context);
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
         if matches!(polled, Poll::Ready(None | Some(Err(_)))) {
             self.held = None;
         }
--- a/crates/lentilshunt-node/src/relay/patience.rs
+++ b/crates/lentilshunt-node/src/relay/patience.rs
@@ -24,7 +24,7 @@
         let mut routes = self.longest.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(longest) = routes.get_mut(route) {
             *longest = named.max(*longest);
-            return *longest - named;
+            return longest.saturating_sub(named);
         }
         if routes.len() < MAX_ROUTES {
             routes.insert(route.to_owned(), named);
--- a/crates/lentilshunt-node/src/relay/pool.rs
+++ b/crates/lentilshunt-node/src/relay/pool.rs
@@ -266,9 +266,9 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let polled = Pin::new(&mut self.body).poll_frame(context);
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
         if matches!(polled, Poll::Ready(None)) || self.body.is_end_stream() {
             self.give_back();
         }
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -217,7 +217,7 @@
         0
     });
     assert!(
-        tokio::time::timeout(Duration::from_secs(60), following)
+        tokio::time::timeout(Duration::from_mins(1), following)
             .await
             .is_err()
     );
@@ -253,7 +253,7 @@
     let mut record = Owner::new(&place, "10.0.0.1:80".to_owned(), 1)
         .record()
         .clone();
-    record.service = "bales".to_owned();
+    "bales".clone_into(&mut record.service);
     record.phase = phase;
     record
 }
@@ -298,15 +298,15 @@
 async fn publish_until_confirmed_and_remove_when_gone() {
     let store = Arc::new(Store::default());
     *store.failures.lock().unwrap() = 3;
-    let (records, published) = watch::channel(None);
+    let (sender, records) = watch::channel(None);
     let publisher = Publisher::new(Arc::clone(&store) as Arc<_>, TABLE.to_owned(), log());
-    tokio::spawn(publisher.run(published));
-    records.send_replace(Some(record("n0", Phase::Ready)));
+    tokio::spawn(publisher.run(records));
+    sender.send_replace(Some(record("n0", Phase::Ready)));
     // A record is back within two seconds of the end of an outage.
     tokio::time::sleep(Duration::from_secs(2)).await;
     assert!(store.rows.lock().unwrap().contains_key("n0"));
     assert_eq!(*store.writes.lock().unwrap(), 4);
-    records.send_replace(Some(record("n0", Phase::Gone)));
+    sender.send_replace(Some(record("n0", Phase::Gone)));
     tokio::time::sleep(Duration::from_millis(10)).await;
     assert!(store.rows.lock().unwrap().is_empty());
 }
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -80,7 +80,10 @@
         let _running = Running(Arc::clone(&self.running));
         let (parts, body) = request.into_parts();
         let path = parts.uri.path_and_query().unwrap().to_string();
-        let body = body.collect().await.map(|body| body.to_bytes());
+        let body = body
+            .collect()
+            .await
+            .map(http_body_util::Collected::to_bytes);
         self.got.lock().unwrap().push(Got {
             path: path.clone(),
             headers: parts.headers.clone(),
@@ -195,7 +198,7 @@
             name: format!("r{prefix}"),
             idempotent,
             timeout: Duration::from_millis(1500),
-            target: Duration::from_millis(1000),
+            target: Duration::from_secs(1),
             rank: 0,
             max_attempts: 2,
             split: Split::new(vec![part], 0).unwrap(),
@@ -317,7 +320,11 @@
     }
     let response = pool.send(node.entry, request).await.expect("an answer");
     let (parts, body) = response.into_parts();
-    let body = body.collect().await.ok().map(|body| body.to_bytes());
+    let body = body
+        .collect()
+        .await
+        .ok()
+        .map(http_body_util::Collected::to_bytes);
     Answer {
         status: parts.status,
         headers: parts.headers,
--- a/crates/lentilshunt-node/tests/relay/path.rs
+++ b/crates/lentilshunt-node/tests/relay/path.rs
@@ -39,7 +39,7 @@
     );
     let got = nodes[0].upstream.got.lock().unwrap()[0].clone();
     assert_eq!(got.path, "/a/b?page=3&sort=new");
-    assert_eq!(&got.body[..], b"body");
+    assert_eq!(*got.body, *b"body");
     assert_eq!(got.headers["caller"], "bales");
     assert_eq!(got.headers["expected"], "p1");
     assert_eq!(got.headers["attempt"], "id-1");
@@ -98,7 +98,7 @@
     assert_eq!(answer.status, StatusCode::OK);
     assert_eq!(nodes[0].upstream.got.lock().unwrap().len(), 0);
     let got = nodes[1].upstream.got.lock().unwrap()[0].clone();
-    assert_eq!(&got.body[..], b"ticket");
+    assert_eq!(*got.body, *b"ticket");
     assert!(
         !got.headers
             .keys()
@@ -153,7 +153,7 @@
     let answer = call(&nodes[0], "/slow/x", &[], empty()).await;
     assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
     let elapsed = begun_at.elapsed();
-    let expected = Duration::from_millis(1500)..Duration::from_millis(2000);
+    let expected = Duration::from_millis(1500)..Duration::from_secs(2);
     assert!(expected.contains(&elapsed), "{elapsed:?}");
 }
 
@@ -173,7 +173,7 @@
         Duration::from_millis(300),
         pool.send(nodes[0].entry, request),
     );
-    assert!(sent.await.is_err());
+    sent.await.expect_err("no answer");
     assert_eq!(nodes[1].upstream.got.lock().unwrap().len(), 1);
     // Within half a second the upstream has stopped.
     tokio::time::sleep(Duration::from_millis(500)).await;
