feat(fleet): let one node of a failure domain read the store for all

The node with the widest link of a failure domain of six and more reads the store; the others ask it and get differences (fast_rsync), with the age of its knowledge, and ask the store themselves when it is too old or does not answer. A second read waits 0.9 s for the first.

--- a/crates/lentilshunt-node/src/fleet/directory.rs
+++ b/crates/lentilshunt-node/src/fleet/directory.rs
@@ -1,21 +1,28 @@
 //! The nodes that have written themselves into the store.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use lentilshunt_core::{
     id::{InstanceId, VersionId},
-    membership::{Record, View},
+    membership::{View, weight},
 };
 use slog::{info, warn};
 
-use super::{Change, follow::News};
+use super::{Change, Presence, follow::News};
 use crate::relay::{Directory, Shared};
 
+/// Nodes of a failure domain from which on one of them reads the store for all.
+///
+/// A reader asks the store more often, so that few nodes cost less by themselves.
+const MIN_DOMAIN: usize = 6;
+/// Role of the node that reads the store, for the choice among equal links.
+const ROLE: &str = "reader";
+
 /// Records of all nodes, from which the directory of endpoints is built.
 #[derive(Debug)]
 pub struct Book {
     shared: Arc<Shared>,
-    records: BTreeMap<InstanceId, Record>,
+    presences: BTreeMap<InstanceId, Presence>,
 }
 
 impl Book {
@@ -24,7 +31,7 @@
     pub fn new(shared: Arc<Shared>) -> Self {
         Self {
             shared,
-            records: BTreeMap::new(),
+            presences: BTreeMap::new(),
         }
     }
 
@@ -32,7 +39,7 @@
     pub fn take(&mut self, news: News) -> VersionId {
         let changes = match news {
             News::All(changes) => {
-                self.records.clear();
+                self.presences.clear();
                 changes
             }
             News::Some(changes) => changes,
@@ -40,27 +47,54 @@
         for change in changes {
             self.apply(change);
         }
-        let view = View::new(self.records.values());
+        let records = self.presences.values().map(|presence| &presence.record);
+        let view = View::new(records);
         let directory = Directory::new(&view.endpoints, &self.shared.place);
+        let directory = directory.with_readers(self.readers());
         self.shared.directory.store(Arc::new(directory));
         0
     }
 
+    /// Returns the nodes of the own failure domain, the one to read the store first.
+    ///
+    /// A wide link is preferred, since what the reader reads and tells passes it.
+    fn readers(&self) -> Vec<(InstanceId, SocketAddr)> {
+        let domain = &self.shared.place.domain;
+        let mut own: Vec<_> = self
+            .presences
+            .values()
+            .filter(|presence| presence.record.domain == *domain)
+            .collect();
+        if own.len() < MIN_DOMAIN {
+            return Vec::new();
+        }
+        own.sort_by_key(|presence| {
+            let weight = weight(&presence.record.instance, ROLE);
+            Reverse((presence.link_mbps, weight))
+        });
+        own.into_iter()
+            .filter_map(|Presence { record, .. }| {
+                Some((record.instance.clone(), record.address.parse().ok()?))
+            })
+            .collect()
+    }
+
     fn apply(&mut self, change: Change) {
         let Change { key, value } = change;
         let log = &self.shared.log;
         let Some(value) = value else {
-            self.records.remove(&key);
+            self.presences.remove(&key);
             info!(log, "node removed"; "node" => key);
             return;
         };
-        match rmp_serde::from_slice::<Record>(&value) {
-            Ok(record) if record.instance == key => {
+        match rmp_serde::from_slice::<Presence>(&value) {
+            Ok(presence) if presence.record.instance == key => {
+                let record = &presence.record;
                 info!(log, "node known"; "node" => &key, "address" => &record.address,
                     "service" => &record.service, "phase" => %record.phase);
-                self.records.insert(key, record);
+                self.presences.insert(key, presence);
             }
-            Ok(record) => {
+            Ok(Presence { record, .. }) => {
                 warn!(log, "record of another node"; "node" => key, "instance" => record.instance);
             }
             Err(error) => {
--- /dev/null
+++ b/crates/lentilshunt-node/src/fleet/domain/message.rs
@@ -0,0 +1,26 @@
+//! What a node answers to another one that asks for changes.
+
+use lentilshunt_core::id::InstanceId;
+use serde::{Deserialize, Serialize};
+
+use super::Patch;
+
+/// A row that changed.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Difference {
+    /// Key of the row.
+    pub key: InstanceId,
+    /// New value, or none for a row that was removed.
+    pub patch: Option<Patch>,
+}
+
+/// Changes of a table after a revision.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Answer {
+    /// Revision up to which the changes go.
+    pub revision: u64,
+    /// Milliseconds since the store confirmed that there is nothing newer.
+    pub age_ms: u64,
+    /// Changes, each row once.
+    pub differences: Vec<Difference>,
+}
--- /dev/null
+++ b/crates/lentilshunt-node/src/fleet/domain/relayed.rs
@@ -0,0 +1,184 @@
+//! The store, read through another node of the failure domain where there is one.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hyper::{Request, StatusCode};
+use lentilshunt_net::Pending;
+use slog::info;
+use tokio::time::timeout_at;
+
+use super::{
+    Answer, Cache,
+    feeds::{PATH, WAIT},
+};
+use crate::{
+    fleet::{Change, Changes, Error, Page, Rows},
+    relay::{
+        Pool, Shared, State,
+        body::{Payload, empty, read},
+    },
+};
+
+/// Longest wait of one call to the store by a node that others ask.
+const STORE_WAIT: Duration = Duration::from_millis(800);
+/// Time for an answer of a node besides its wait.
+const ANSWER_TIME: Duration = Duration::from_millis(250);
+/// Time for which a node that did not help is not asked.
+const SHUN_TIME: Duration = Duration::from_secs(3);
+/// Time before a version must be in force at which the store itself is asked.
+const MARGIN: Duration = Duration::from_millis(1200);
+
+/// A store that is read through another node of the failure domain.
+#[derive(Debug)]
+pub struct Relayed {
+    store: Arc<dyn Rows>,
+    shared: Arc<Shared>,
+    pool: Arc<Pool>,
+    cache: Arc<Cache>,
+    /// Oldest knowledge of the store that is relied upon.
+    max_age: Duration,
+    shunned: Mutex<HashMap<SocketAddr, Instant>>,
+}
+
+impl Relayed {
+    /// Creates a view of the store in which changes are at most `apply` late.
+    #[must_use]
+    pub fn new(
+        store: Arc<dyn Rows>,
+        shared: Arc<Shared>,
+        pool: Arc<Pool>,
+        cache: Arc<Cache>,
+        apply: Duration,
+    ) -> Self {
+        Self {
+            store,
+            shared,
+            pool,
+            cache,
+            max_age: apply.saturating_sub(MARGIN),
+            shunned: Mutex::default(),
+        }
+    }
+
+    async fn page(&self, table: &str) -> Result<Page, Error> {
+        let page = self.store.read(table).await?;
+        self.cache.replace(table, &page, Duration::ZERO);
+        Ok(page)
+    }
+
+    async fn changes(&self, table: &str, after: u64, wait: Duration) -> Result<Changes, Error> {
+        let directory = self.shared.directory.load();
+        let reader = self.reader(directory.readers());
+        let is_shared = !directory.readers().is_empty();
+        drop(directory);
+        if let Some(reader) = reader {
+            match self.ask(reader, table, after).await {
+                Some(changes) => return Ok(changes),
+                None => self.shun(reader),
+            }
+        }
+        let wait = if is_shared {
+            wait.min(STORE_WAIT)
+        } else {
+            wait
+        };
+        let changes = self.store.wait(table, after, wait).await?;
+        self.cache.apply(table, &changes, Duration::ZERO);
+        Ok(changes)
+    }
+
+    /// Returns the node to ask, or none if this one asks the store.
+    fn reader(&self, readers: &[(String, SocketAddr)]) -> Option<SocketAddr> {
+        let now = Instant::now();
+        let shunned = self.shunned.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_shunned =
+            |address: &SocketAddr| shunned.get(address).is_some_and(|until| *until > now);
+        let mut usable = readers.iter().filter(|(_, address)| !is_shunned(address));
+        let (instance, address) = usable.next()?;
+        (*instance != self.shared.place.instance).then_some(*address)
+    }
+
+    fn shun(&self, reader: SocketAddr) {
+        info!(self.shared.log, "node does not tell changes of the store"; "node" => %reader);
+        metrics::counter!("lentilshunt_reader_lost_total").increment(1);
+        let mut shunned = self.shunned.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        shunned.retain(|_, until| *until > now);
+        shunned.insert(reader, now + SHUN_TIME);
+    }
+
+    /// Asks a node for changes; none stands for no help.
+    async fn ask(&self, reader: SocketAddr, table: &str, after: u64) -> Option<Changes> {
+        let mut request = Request::new(empty());
+        *request.uri_mut() = format!("{PATH}{table}/{after}").parse().ok()?;
+        let until = Instant::now() + WAIT + ANSWER_TIME;
+        let exchange = async {
+            let response = self.pool.send(reader, request).await.ok()?;
+            if response.status() != StatusCode::OK {
+                return None;
+            }
+            read(response.into_body(), State::MAX_BYTES).await.ok()
+        };
+        let Ok(Some(Payload::Whole(bytes))) = timeout_at(until.into(), exchange).await else {
+            return None;
+        };
+        let answer: Answer = rmp_serde::from_slice(&bytes).ok()?;
+        let age = Duration::from_millis(answer.age_ms);
+        if age > self.max_age {
+            return None;
+        }
+        let changes = self.translate(table, after, answer)?;
+        self.cache.apply(table, &changes, age);
+        Some(changes)
+    }
+
+    /// Returns the changes that an answer stands for, or none if a patch does not fit.
+    fn translate(&self, table: &str, after: u64, answer: Answer) -> Option<Changes> {
+        let mut changes = Vec::with_capacity(answer.differences.len());
+        for difference in answer.differences {
+            let held = self.cache.value(table, &difference.key);
+            let value = match difference.patch {
+                Some(patch) => Some(patch.apply(held.as_ref())?),
+                None => None,
+            };
+            changes.push(Change {
+                key: difference.key,
+                value,
+            });
+        }
+        Some(Changes {
+            changes,
+            revision: answer.revision.max(after),
+        })
+    }
+}
+
+impl Rows for Relayed {
+    fn read<'a>(&'a self, table: &'a str) -> Pending<'a, Result<Page, Error>> {
+        Box::pin(self.page(table))
+    }
+
+    fn wait<'a>(
+        &'a self,
+        table: &'a str,
+        revision: u64,
+        wait: Duration,
+    ) -> Pending<'a, Result<Changes, Error>> {
+        Box::pin(self.changes(table, revision, wait))
+    }
+
+    fn write<'a>(
+        &'a self,
+        table: &'a str,
+        key: &'a str,
+        value: Option<Bytes>,
+    ) -> Pending<'a, Result<(), Error>> {
+        self.store.write(table, key, value)
+    }
+}
--- a/crates/lentilshunt-node/src/fleet/follow.rs
+++ b/crates/lentilshunt-node/src/fleet/follow.rs
@@ -10,6 +10,8 @@
 use super::{Change, Error, Rows};
 use crate::relay::Newest;
 
+/// Time in which a waiting call tells a version that another node has in force.
+const TELL_TIME: Duration = Duration::from_millis(900);
 /// First pause after the store did not answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after the store did not answer.
@@ -99,17 +101,19 @@
     }
 }
 
-/// Waits until another node has a version above the held one.
+/// Waits until another node has a version that this one is not told of.
 async fn overtaken(newest: &mut Option<watch::Receiver<Newest>>, held: VersionId) {
-    if let Some(newest) = newest
-        && newest
+    let ahead = match newest {
+        Some(newest) => newest
             .wait_for(|newest| newest.version > held)
             .await
-            .is_ok()
-    {
-        return;
+            .is_ok(),
+        None => false,
+    };
+    if !ahead {
+        std::future::pending::<()>().await;
     }
-    std::future::pending::<()>().await;
+    sleep(TELL_TIME).await;
 }
 
 /// Logs that the store was lost or is back.
--- a/crates/lentilshunt-node/src/fleet/mod.rs
+++ b/crates/lentilshunt-node/src/fleet/mod.rs
@@ -7,10 +7,12 @@
 //! | [`run`] | starts the parts of a relaying node, and stops them gracefully |
 
 mod directory;
+mod domain;
 mod follow;
 mod health;
 mod metrics;
 mod neighbour;
+mod presence;
 mod publisher;
 mod report;
 mod rows;
@@ -20,9 +22,11 @@
 mod translator;
 
 pub use directory::Book;
+pub use domain::{Answer, Cache, Difference, Feeds, Patch, Relayed};
 pub use follow::{News, Subject, follow};
 pub use health::Health;
 pub use neighbour::Neighbour;
+pub use presence::Presence;
 pub use publisher::Publisher;
 pub use report::Reports;
 pub use rows::{Change, Changes, Error, Page, Row, Rows};
--- a/crates/lentilshunt-node/src/fleet/neighbour.rs
+++ b/crates/lentilshunt-node/src/fleet/neighbour.rs
@@ -18,7 +18,7 @@
 };
 
 /// Time that the store has to tell a version which another node has in force.
-const STORE_TIME: Duration = Duration::from_millis(700);
+const STORE_TIME: Duration = Duration::from_millis(1500);
 /// Longest time for asking another node.
 const TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause after a node was asked.
--- a/crates/lentilshunt-node/src/fleet/publisher.rs
+++ b/crates/lentilshunt-node/src/fleet/publisher.rs
@@ -6,7 +6,7 @@
 use slog::{Logger, info, warn};
 use tokio::{sync::watch, time::sleep};
 
-use super::Rows;
+use super::{Presence, Rows};
 
 /// First pause after a write that was not confirmed.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -20,14 +20,20 @@
 pub struct Publisher {
     rows: Arc<dyn Rows>,
     table: String,
+    link_mbps: u32,
     log: Logger,
 }
 
 impl Publisher {
-    /// Creates a publisher into a table of the store.
+    /// Creates a publisher into a table of the store; `link_mbps` is told with each record.
     #[must_use]
-    pub fn new(rows: Arc<dyn Rows>, table: String, log: Logger) -> Self {
-        Self { rows, table, log }
+    pub fn new(rows: Arc<dyn Rows>, table: String, link_mbps: u32, log: Logger) -> Self {
+        Self {
+            rows,
+            table,
+            link_mbps,
+            log,
+        }
     }
 
     /// Writes each new record until all senders of records are gone.
@@ -56,7 +62,11 @@
 
     /// Writes a record and returns whether nothing is left to do.
     async fn write(&self, record: &Record) -> bool {
-        let value = (record.phase != Phase::Gone).then(|| rmp_serde::to_vec_named(record));
+        let presence = Presence {
+            record: record.clone(),
+            link_mbps: self.link_mbps,
+        };
+        let value = (record.phase != Phase::Gone).then(|| rmp_serde::to_vec_named(&presence));
         let value = match value.transpose() {
             Ok(value) => value.map(Into::into),
             Err(error) => {
--- a/crates/lentilshunt-node/src/fleet/shell.rs
+++ b/crates/lentilshunt-node/src/fleet/shell.rs
@@ -26,7 +26,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    Book, Health, Installer, Neighbour, Publisher, Reports, Rows, Site, Translator,
+    Book, Cache, Feeds, Health, Installer, Neighbour, Publisher, Relayed, Reports, Rows, Site,
+    Translator,
     follow::{Subject, follow},
     metrics::Metrics,
 };
@@ -74,6 +75,7 @@
     let site = sites.borrow_and_update().clone();
     let shared = Arc::new(share(&site, log.clone(), stop.clone()));
     let suspects = Arc::new(Suspects::new(Instant::now()));
+    let cache = Arc::new(Cache::default());
     let pool = Arc::new(Pool::new(CONNECT_TIMEOUT, IDLE_TIME));
     let executor = Arc::new(Executor::new(
         &shared,
@@ -94,6 +96,7 @@
         Arc::clone(&executor),
         suspects,
         site.listen.peers.port(),
+        Arc::new(Feeds::new(Arc::clone(&cache))),
     );
     let (records, published) = watch::channel(None);
     let incarnation = rand::random::<u32>().into();
@@ -121,6 +124,14 @@
     let (rules_table, rules_key) = site.rules_row.clone();
     let installer = Installer::new(Arc::clone(&shared), translator, rules_key);
     let installer = Arc::new(installer);
+    let relayed = Relayed::new(
+        rows,
+        Arc::clone(&shared),
+        Arc::clone(&pool),
+        cache,
+        site.apply,
+    );
+    let rows: Arc<dyn Rows> = Arc::new(relayed);
     let control = [
         tokio::spawn(follow_rules(
             Arc::clone(&shared),
@@ -135,7 +146,10 @@
             site.nodes_table.clone(),
         )),
         tokio::spawn(apply(Arc::clone(&shared), sites)),
-        tokio::spawn(Publisher::new(rows, site.nodes_table.clone(), log.clone()).run(published)),
+        tokio::spawn(
+            Publisher::new(rows, site.nodes_table.clone(), site.link_mbps, log.clone())
+                .run(published),
+        ),
     ];
     info!(log, "node started"; "service" => &site.service, "domain" => &site.place.domain);
 
--- a/crates/lentilshunt-node/src/fleet/site.rs
+++ b/crates/lentilshunt-node/src/fleet/site.rs
@@ -36,6 +36,10 @@
     pub listen: Listen,
     /// Time between two reports of the upstream.
     pub report_interval: Duration,
+    /// Time in which an accepted version must be in force.
+    pub apply: Duration,
+    /// Width of the machine's link, in Mbit/s.
+    pub link_mbps: u32,
     /// Time in which a stopping node must have ended.
     pub grace: Duration,
     /// Retries that all nodes together may make for one service.
--- a/crates/lentilshunt-node/src/relay/inbound.rs
+++ b/crates/lentilshunt-node/src/relay/inbound.rs
@@ -30,24 +30,28 @@
     executor: Arc<Executor>,
     suspects: Arc<Suspects>,
     port: u16,
+    feeds: Arc<dyn Handler>,
 }
 
 impl Inbound {
     /// Creates the handler; calls of other nodes are refused once the node stops.
     ///
-    /// `port` is the one at which all nodes listen for each other.
+    /// `port` is the one at which all nodes listen for each other. What is
+    /// neither a call nor known here is answered by `feeds`.
     #[must_use]
     pub fn new(
         shared: Arc<Shared>,
         executor: Arc<Executor>,
         suspects: Arc<Suspects>,
         port: u16,
+        feeds: Arc<dyn Handler>,
     ) -> Self {
         Self {
             shared,
             executor,
             suspects,
             port,
+            feeds,
         }
     }
 
@@ -86,8 +90,7 @@
             }
             return Response::new(empty());
         }
-        let refused = Reply::refused(Reason::BadRequest);
-        write_reply(refused, self.executor.room(), self.shared.version())
+        self.feeds.handle(request).await
     }
 }
 
--- a/crates/lentilshunt-node/src/relay/shared.rs
+++ b/crates/lentilshunt-node/src/relay/shared.rs
@@ -5,7 +5,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use lentilshunt_core::{
-    id::{ServiceId, VersionId},
+    id::{InstanceId, ServiceId, VersionId},
     membership::{Endpoint, Phase},
     retry::Allowance,
     routing::{Place, Route},
@@ -24,6 +24,8 @@
     /// Routes without other regions, for services with an endpoint in the own region.
     homes: HashMap<ServiceId, Route>,
     nodes: usize,
+    /// Nodes of the own failure domain, the one that reads the store first.
+    readers: Vec<(InstanceId, SocketAddr)>,
 }
 
 /// The highest version that is known to be in force somewhere.
@@ -85,9 +87,25 @@
             services,
             homes,
             nodes: endpoints.len(),
+            readers: Vec::new(),
         }
     }
 
+    /// Sets which nodes of the own failure domain read the store, in their order.
+    #[must_use]
+    pub fn with_readers(mut self, readers: Vec<(InstanceId, SocketAddr)>) -> Self {
+        self.readers = readers;
+        self
+    }
+
+    /// Returns the nodes that read the store for the own failure domain, in their order.
+    ///
+    /// Where none is returned, each node reads the store by itself.
+    #[must_use]
+    pub fn readers(&self) -> &[(InstanceId, SocketAddr)] {
+        &self.readers
+    }
+
     /// Returns the endpoints of a service in the own region, or all if there is none.
     #[must_use]
     pub fn home(&self, service: &str) -> Option<&Route> {
