--- a/crates/lentilshunt-node/src/fleet/shell.rs
+++ b/crates/lentilshunt-node/src/fleet/shell.rs
@@ -12,7 +12,7 @@
 
 use arc_swap::ArcSwap;
 use lentilshunt_core::{
-    membership::Owner,
+    membership::{Owner, Record},
     quarantine::Suspects,
     traffic::{Limits, Rules},
 };
@@ -74,83 +74,44 @@
     let metrics = meter::install();
     let site = sites.borrow_and_update().clone();
     let shared = Arc::new(share(&site, log.clone(), stop.clone()));
-    let suspects = Arc::new(Suspects::new(Instant::now()));
     let cache = Arc::new(Cache::default());
     let pool = Arc::new(Pool::new(CONNECT_TIMEOUT, IDLE_TIME));
-    let executor = Arc::new(Executor::new(
-        &shared,
-        site.upstream,
-        site.report_interval,
-        Arc::clone(&suspects),
-        Arc::clone(&pool),
-    ));
-    let dispatcher = Dispatcher::new(
-        Arc::clone(&shared),
-        Arc::clone(&executor),
-        Arc::clone(&suspects),
-        Arc::clone(&pool),
-    );
-    let entry = Entry::new(Arc::clone(&shared), Arc::new(dispatcher));
-    let inbound = Inbound::new(
-        Arc::clone(&shared),
-        Arc::clone(&executor),
-        suspects,
-        site.listen.peers.port(),
-        Arc::new(Feeds::new(Arc::clone(&cache))),
-    );
-    let (records, published) = watch::channel(None);
-    let incarnation = rand::random::<u32>().into();
-    let owner = Owner::new(&site.place, site.listen.advertise.to_string(), incarnation);
-    let reports = Reports::new(
-        Arc::clone(&shared),
-        executor,
-        Arc::clone(&translator),
-        owner,
-        records,
-    );
-
-    let listen = &site.listen;
+    let (handlers, records) = handlers(&site, &shared, &translator, &cache, &pool);
     let closing = Stop {
         leaving: stop.clone(),
         closed: CancellationToken::new(),
     };
     let open = Stop::default();
-    let callers = serve(listen.callers, Arc::new(entry), &closing).await?;
-    let peers = serve(listen.peers, Arc::new(inbound), &closing).await?;
-    let admin = serve(listen.reports, Arc::new(reports), &open).await?;
-    let health = Health::new(Arc::clone(&shared));
-    let health = serve(listen.readiness, Arc::new(health), &open).await?;
-    let scrape = serve(listen.metrics, Arc::new(Metrics(metrics)), &open).await?;
-    let (rules_table, rules_key) = site.rules_row.clone();
-    let installer = Installer::new(Arc::clone(&shared), translator, rules_key);
+    let listen = &site.listen;
+    let callers = serve(listen.callers, handlers.entry, &closing).await?;
+    let peers = serve(listen.peers, handlers.inbound, &closing).await?;
+    let health = Arc::new(Health::new(Arc::clone(&shared)));
+    let mut tasks = vec![
+        serve(listen.reports, handlers.reports, &open)
+            .await?
+            .running,
+        serve(listen.readiness, health, &open).await?.running,
+        serve(listen.metrics, Arc::new(Metrics(metrics)), &open)
+            .await?
+            .running,
+        tokio::spawn(apply(Arc::clone(&shared), sites)),
+    ];
+    let installer = Installer::new(Arc::clone(&shared), translator, site.rules_row.1.clone());
     let installer = Arc::new(installer);
-    let relayed = Relayed::new(
-        rows,
+    let neighbour = Neighbour::new(
         Arc::clone(&shared),
+        Arc::clone(&installer),
         Arc::clone(&pool),
-        cache,
-        site.apply,
     );
-    let rows: Arc<dyn Rows> = Arc::new(relayed);
-    let control = [
-        tokio::spawn(follow_rules(
-            Arc::clone(&shared),
-            Arc::clone(&rows),
-            Arc::clone(&installer),
-            rules_table,
-        )),
-        tokio::spawn(Neighbour::new(Arc::clone(&shared), installer, pool).run()),
-        tokio::spawn(follow_records(
-            Arc::clone(&shared),
-            Arc::clone(&rows),
-            site.nodes_table.clone(),
-        )),
-        tokio::spawn(apply(Arc::clone(&shared), sites)),
-        tokio::spawn(
-            Publisher::new(rows, site.nodes_table.clone(), site.link_mbps, log.clone())
-                .run(published),
-        ),
-    ];
+    tasks.push(tokio::spawn(neighbour.run()));
+    let relayed = Relayed::new(rows, Arc::clone(&shared), pool, cache, site.apply);
+    tasks.extend(follow_store(
+        &site,
+        &shared,
+        Arc::new(relayed),
+        installer,
+        records,
+    ));
     info!(log, "node started"; "service" => &site.service, "domain" => &site.place.domain);
 
     stop.cancelled().await;
@@ -165,16 +126,92 @@
     if timeout_at(given_up_at.into(), drained).await.is_err() {
         warn!(log, "requests in flight at the end of the grace period");
     }
-    for task in control
-        .into_iter()
-        .chain([admin, health, scrape].map(|task| task.running))
-    {
+    for task in tasks {
         task.abort();
     }
     info!(log, "node stopped");
     Ok(())
 }
 
+/// What answers at the listeners of a node.
+struct Handlers {
+    entry: Arc<dyn Handler>,
+    inbound: Arc<dyn Handler>,
+    reports: Arc<dyn Handler>,
+}
+
+/// Creates the path of a request, and the records that are to be published.
+fn handlers(
+    site: &Site,
+    shared: &Arc<Shared>,
+    translator: &Arc<dyn Translator>,
+    cache: &Arc<Cache>,
+    pool: &Arc<Pool>,
+) -> (Handlers, watch::Receiver<Option<Record>>) {
+    let suspects = Arc::new(Suspects::new(Instant::now()));
+    let executor = Arc::new(Executor::new(
+        shared,
+        site.upstream,
+        site.report_interval,
+        Arc::clone(&suspects),
+        Arc::clone(pool),
+    ));
+    let dispatcher = Dispatcher::new(
+        Arc::clone(shared),
+        Arc::clone(&executor),
+        Arc::clone(&suspects),
+        Arc::clone(pool),
+    );
+    let entry = Entry::new(Arc::clone(shared), Arc::new(dispatcher));
+    let inbound = Inbound::new(
+        Arc::clone(shared),
+        Arc::clone(&executor),
+        suspects,
+        site.listen.peers.port(),
+        Arc::new(Feeds::new(Arc::clone(cache))),
+    );
+    let (records, published) = watch::channel(None);
+    // Only tells starts of a node apart; the store orders its records.
+    let incarnation = rand::random::<u32>().into();
+    let owner = Owner::new(&site.place, site.listen.advertise.to_string(), incarnation);
+    let translator = Arc::clone(translator);
+    let reports = Reports::new(Arc::clone(shared), executor, translator, owner, records);
+    let handlers = Handlers {
+        entry: Arc::new(entry),
+        inbound: Arc::new(inbound),
+        reports: Arc::new(reports),
+    };
+    (handlers, published)
+}
+
+/// Starts to follow the tables of the store and to publish the own record.
+fn follow_store(
+    site: &Site,
+    shared: &Arc<Shared>,
+    rows: Arc<dyn Rows>,
+    installer: Arc<Installer>,
+    records: watch::Receiver<Option<Record>>,
+) -> [JoinHandle<()>; 3] {
+    let nodes = &site.nodes_table;
+    let log = shared.log.clone();
+    let publisher = Publisher::new(Arc::clone(&rows), nodes.clone(), site.link_mbps, log);
+    let rules_table = site.rules_row.0.clone();
+    [
+        tokio::spawn(publisher.run(records)),
+        tokio::spawn(follow_records(
+            Arc::clone(shared),
+            Arc::clone(&rows),
+            nodes.clone(),
+        )),
+        tokio::spawn(follow_rules(
+            Arc::clone(shared),
+            rows,
+            installer,
+            rules_table,
+        )),
+    ]
+}
+
 /// A listener with its requests.
 struct Running {
     running: JoinHandle<()>,
