--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -16,10 +16,11 @@
     routing::{Choice, Local, Observations, Outcome, Policy, Selection},
     verdict::{Reason, Verdict},
 };
+use slog::{Level, warn};
 use tokio::time::{sleep, timeout_at};
 
 use super::{
-    Call, Executor, Reply, Shared,
+    Call, Executor, Journal, Reply, Shared,
     body::{Body, Payload, empty, read},
     head::{read_reply, write_call},
     header,
@@ -56,6 +57,7 @@
     observations: Observations,
     suspects: Arc<Suspects>,
     shares: Mutex<HashMap<ServiceId, Arc<Share>>>,
+    journal: Journal,
 }
 
 /// The attempts of one call so far.
@@ -91,6 +93,7 @@
             observations: Observations::new(Instant::now()),
             suspects,
             shares: Mutex::default(),
+            journal: Journal::new(),
         }
     }
 
@@ -189,6 +192,7 @@
         let reply = timeout_at(until.into(), execution).await;
         let reply = reply.unwrap_or_else(|_elapsed| Reply::unknown(Reason::Deadline));
         let outcome = outcome(&reply);
+        self.log_attempt(endpoint, call, &reply, outcome);
         observed.end(outcome, reply.room, Instant::now());
         if let Some(version) = reply.version {
             self.shared.learn(version, Some(endpoint.address));
@@ -196,6 +200,24 @@
         reply
     }
 
+    /// Logs an attempt that found its node lost, with what was known of the node.
+    fn log_attempt(&self, endpoint: &Endpoint, call: &Call, reply: &Reply, outcome: Outcome) {
+        let now = Instant::now();
+        if outcome != Outcome::Lost || !self.journal.admits(Level::Warning, now, &self.shared.log) {
+            return;
+        }
+        let heard_at = self.heard(endpoint.address);
+        let age = heard_at.map(|heard_at| (now - heard_at).as_millis());
+        warn!(self.shared.log, "node left alone for a while";
+            "request" => &call.request,
+            "node" => &endpoint.instance,
+            "service" => &endpoint.service,
+            "reason" => reply.reason.map(|reason| reason.to_string()),
+            "sent" => reply.reached,
+            "heard_ms_ago" => age.map(|age| u64::try_from(age).unwrap_or(u64::MAX)),
+        );
+    }
+
     /// Sends an attempt to another node.
     async fn send(&self, endpoint: &Endpoint, call: &Call, body: Body) -> Reply {
         let Some(request) = self.request(call, body) else {
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -14,9 +17,10 @@
     verdict::{Reason, Verdict},
 };
 use lentilshunt_schema::peer::Phase;
+use slog::{Level, Logger, info, warn};
 
 use super::{
-    Call, Dialect, Herald, Reply, Shared,
+    Call, Dialect, Herald, Journal, Reply, Shared,
     body::Body,
     guarded, header,
     pool::Pool,
@@ -45,6 +49,10 @@
     suspects: Arc<Suspects>,
     instance: InstanceId,
     herald: Herald,
+    /// Whether reports of the upstream are missing.
+    silent: AtomicBool,
+    journal: Journal,
+    log: Logger,
 }
 
 impl Executor {
@@ -70,6 +78,9 @@
             suspects,
             instance: shared.place.instance.clone(),
             herald: Herald::new(Arc::clone(shared), peers),
+            silent: AtomicBool::new(false),
+            journal: Journal::new(),
+            log: shared.log.clone(),
         }
     }
 
@@ -96,7 +107,18 @@
     pub fn upstream(&self, now: Instant) -> Option<Arc<Upstream>> {
         let upstream = self.upstream.load_full()?;
         let silence = now.saturating_duration_since(upstream.heard_at);
-        (silence <= self.interval * MISSING_ANNOUNCEMENTS).then_some(upstream)
+        let is_silent = silence > self.interval * MISSING_ANNOUNCEMENTS;
+        if self.silent.swap(is_silent, Ordering::Relaxed) != is_silent {
+            let process = &upstream.report.process;
+            if is_silent {
+                warn!(self.log, "upstream lost"; "process" => process,
+                    "sequence" => upstream.report.sequence);
+            } else {
+                info!(self.log, "upstream regained"; "process" => process,
+                    "sequence" => upstream.report.sequence);
+            }
+        }
+        (!is_silent).then_some(upstream)
     }
 
     /// Returns the free slots that no call waits for.
@@ -107,6 +129,44 @@
 
     /// Runs a call, or refuses it.
     pub async fn execute(&self, call: &Call, body: Body) -> Reply {
+        let reply = self.attempt(call, body).await;
+        if let Some(reason) = reply.reason {
+            self.log_refusal(call, &reply, reason);
+        }
+        reply
+    }
+
+    /// Logs why a call has no answer of the upstream, and what was known of it.
+    fn log_refusal(&self, call: &Call, reply: &Reply, reason: Reason) {
+        let labels = [
+            ("reason", reason.to_string()),
+            ("verdict", reply.verdict.to_string()),
+        ];
+        metrics::counter!("lentilshunt_executor_refusals_total", &labels).increment(1);
+        let now = Instant::now();
+        if !self.journal.admits(Level::Warning, now, &self.log) {
+            return;
+        }
+        let upstream = self.upstream.load_full();
+        let report = upstream.as_ref().map(|upstream| &upstream.report);
+        let age = upstream.as_ref().map(|upstream| now - upstream.heard_at);
+        warn!(self.log, "call not answered by the upstream";
+            "request" => &call.request,
+            "service" => &*call.service,
+            "reason" => %reason,
+            "verdict" => %reply.verdict,
+            "sent" => reply.reached,
+            "process" => report.map(|report| report.process.as_str()),
+            "phase" => report.map(|report| report.phase.to_string()),
+            "sequence" => report.map(|report| report.sequence),
+            "report_age_ms" => age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            "room" => self.gate.room(),
+            "rank" => call.rank,
+            "late" => call.late,
+        );
+    }
+
+    async fn attempt(&self, call: &Call, body: Body) -> Reply {
         if let Err(reason) = self.admit(call) {
             return Reply::refused(reason);
         }
