--- a/crates/lentilshunt-node/src/fleet/report.rs
+++ b/crates/lentilshunt-node/src/fleet/report.rs
@@ -67,7 +67,7 @@
             Ok(report) if self.accepts(&report) => self.take(&report),
             Ok(report) => {
                 warn!(self.shared.log, "report of another upstream ignored";
-                    "process" => report.process, "service" => report.service);
+                    "upstream" => report.process, "service" => report.service);
                 return status(StatusCode::BAD_REQUEST);
             }
             Err(error) => {
@@ -92,7 +92,7 @@
         if change != Change::State {
             return;
         }
-        info!(self.shared.log, "upstream changed"; "process" => &report.process,
+        info!(self.shared.log, "upstream changed"; "upstream" => &report.process,
             "started_ms" => report.started_ms, "sequence" => report.sequence,
             "phase" => %report.phase, "slots" => report.slots);
         let announcement = Announcement {
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -297,6 +297,8 @@
 
 /// Returns what a reply says of its endpoint.
 ///
+/// An upstream that loses an answer may well answer the next call.
+///
 /// No more calls are sent to an upstream than it has slots, so one that refuses
 /// a call or answers with an error of its own is not well.
 fn outcome(reply: &Reply) -> Outcome {
@@ -307,7 +309,9 @@
         return Outcome::Failed;
     }
     match reply.reason {
-        Some(Reason::Unreachable | Reason::NotReady | Reason::ConnectionLost) => Outcome::Lost,
+        Some(Reason::Unreachable | Reason::NotReady) => Outcome::Lost,
+        // Without the room of the executing node, the node itself did not answer.
+        Some(Reason::ConnectionLost) if reply.room.is_none() => Outcome::Lost,
         reason => Outcome::new(reply.verdict, reason),
     }
 }
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -111,10 +111,10 @@
         if self.silent.swap(is_silent, Ordering::Relaxed) != is_silent {
             let process = &upstream.report.process;
             if is_silent {
-                warn!(self.log, "upstream lost"; "process" => process,
+                warn!(self.log, "upstream lost"; "upstream" => process,
                     "sequence" => upstream.report.sequence);
             } else {
-                info!(self.log, "upstream regained"; "process" => process,
+                info!(self.log, "upstream regained"; "upstream" => process,
                     "sequence" => upstream.report.sequence);
             }
         }
@@ -156,7 +156,7 @@
             "reason" => %reason,
             "verdict" => %reply.verdict,
             "sent" => reply.reached,
-            "process" => report.map(|report| report.process.as_str()),
+            "upstream" => report.map(|report| report.process.as_str()),
             "phase" => report.map(|report| report.phase.to_string()),
             "sequence" => report.map(|report| report.sequence),
             "report_age_ms" => age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -35,7 +35,7 @@
     upstream::Report,
 };
 use slog::{Discard, Logger, o};
-use tokio::sync::watch;
+use tokio::{io::AsyncReadExt, net::TcpListener, sync::watch};
 use tokio_util::sync::CancellationToken;
 
 const SERVICE: &str = "bales";
@@ -101,6 +101,7 @@
                 response
             }
             "broken" => Response::new(broken()),
+
             "failing" => {
                 let mut response = Response::new(whole("failed"));
                 *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
@@ -224,14 +225,42 @@
 pub async fn nodes(count: usize) -> Vec<Node> {
     let mut nodes = Vec::new();
     for index in 0..count {
-        nodes.push(node(index).await);
+        nodes.push(node(index, None).await);
+    }
+    introduce(&nodes);
+    nodes
+}
+
+/// Starts nodes that know each other, the first beside an upstream that loses its answers.
+///
+/// Also returns how many connections that upstream has accepted.
+pub async fn nodes_with_loss(count: usize) -> (Vec<Node>, Arc<AtomicUsize>) {
+    let accepted = Arc::new(AtomicUsize::new(0));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let counter = Arc::clone(&accepted);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            counter.fetch_add(1, Ordering::SeqCst);
+            let mut request = [0; 1024];
+            // The connection closes after the request has been read.
+            let _read = stream.read(&mut request).await.unwrap();
+        }
+    });
+    let mut nodes = vec![node(0, Some(address)).await];
+    for index in 1..count {
+        nodes.push(node(index, None).await);
     }
+    introduce(&nodes);
+    (nodes, accepted)
+}
+
+fn introduce(nodes: &[Node]) {
     let endpoints: Vec<_> = nodes.iter().map(endpoint).collect();
-    for node in &nodes {
+    for node in nodes {
         let directory = Directory::new(&endpoints, &node.shared.place);
         node.shared.directory.store(Arc::new(directory));
     }
-    nodes
 }
 
 fn endpoint(node: &Node) -> Arc<Endpoint> {
@@ -249,10 +278,11 @@
     })
 }
 
-async fn node(index: usize) -> Node {
+async fn node(index: usize, beside: Option<SocketAddr>) -> Node {
     let stop = CancellationToken::new();
     let upstream = Arc::new(Upstream::default());
-    let address = listen(Arc::clone(&upstream) as Arc<_>, &CancellationToken::new()).await;
+    let usual = listen(Arc::clone(&upstream) as Arc<_>, &CancellationToken::new()).await;
+    let address = beside.unwrap_or(usual);
     let shared = Arc::new(Shared {
         place: Place::new(format!("n{index}"), "yard".to_owned(), "coast".to_owned()),
         service: SERVICE.to_owned(),
--- a/crates/lentilshunt-node/tests/relay/path.rs
+++ b/crates/lentilshunt-node/tests/relay/path.rs
@@ -10,7 +10,7 @@
 };
 use rstest::rstest;
 
-use crate::fixture::{HOST, Node, call, nodes, pieces, report};
+use crate::fixture::{HOST, Node, call, nodes, nodes_with_loss, pieces, report};
 
 fn runs(nodes: &[Node]) -> usize {
     nodes
@@ -195,6 +195,17 @@
     assert_eq!(answer.headers["connection"], "close");
 }
 
+#[tokio::test]
+async fn call_after_lost_answer() {
+    let (nodes, accepted) = nodes_with_loss(2).await;
+    for lost in 1..=2 {
+        let answer = call(&nodes[0], "/once/x", &[], empty()).await;
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+        // One connection for the request, one to see whether the upstream lives.
+        assert_eq!(accepted.load(Ordering::SeqCst), lost * 2);
+    }
+}
+
 #[tokio::test]
 async fn call_with_dead_node() {
     let nodes = nodes(2).await;
