fix(executor): take reports of an upstream one at a time

Cause: two reports that arrived together were each compared with the one before both, so that an older 'ready' could replace a newer 'draining' and the upstream got work after its drain had been acknowledged.

Ruled out: the order of sequences, which is checked (take_order).

--- a/crates/lentilshunt-node/src/executor/mod.rs
+++ b/crates/lentilshunt-node/src/executor/mod.rs
@@ -29,6 +29,6 @@
 }
 
 /// Locks state that stays valid when a holder panics.
-fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
@@ -26,7 +26,7 @@
     pool::Pool,
     upstream::{self, Change, Report, Upstream},
 };
-use crate::executor::Gate;
+use crate::executor::{Gate, locked};
 
 /// Requests that may wait for a slot of the upstream.
 const QUEUE: u32 = 64;
@@ -44,6 +44,8 @@
     dialect: Dialect,
     interval: Duration,
     upstream: ArcSwapOption<Upstream>,
+    /// Held while a report is taken, so that an older one cannot overtake it.
+    reporting: Mutex<()>,
     gate: Arc<Gate>,
     pool: Pool,
     suspects: Arc<Suspects>,
@@ -73,6 +75,7 @@
             dialect: shared.dialect.clone(),
             interval,
             upstream: ArcSwapOption::empty(),
+            reporting: Mutex::default(),
             gate: Arc::new(Gate::new(QUEUE)),
             pool: Pool::new(CONNECT_TIMEOUT, IDLE_TIME),
             suspects,
@@ -86,6 +89,7 @@
 
     /// Takes a report of the upstream and returns what it changed.
     pub fn report(&self, report: &Report, now: Instant) -> Change {
+        let _reporting = locked(&self.reporting);
         let held = self.upstream.load_full();
         let (change, taken) = upstream::take(held.as_deref(), report.clone(), self.interval, now);
         if let Some(taken) = taken {
--- a/crates/lentilshunt-node/tests/relay/upstream.rs
+++ b/crates/lentilshunt-node/tests/relay/upstream.rs
@@ -1,6 +1,9 @@
 //! Tests of the order of reports of an upstream.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Barrier,
+    time::{Duration, Instant},
+};
 
 use lentilshunt_core::membership::Phase;
 use lentilshunt_node::relay::{
@@ -9,7 +12,7 @@
 };
 use rstest::rstest;
 
-use crate::fixture::report;
+use crate::fixture::{nodes, report};
 
 const INTERVAL: Duration = Duration::from_secs(1);
 
@@ -64,6 +67,27 @@
     assert_eq!(change, Change::State);
 }
 
+#[tokio::test]
+async fn report_out_of_order_at_once() {
+    for round in 0..200 {
+        let nodes = nodes(1).await;
+        let executor = &nodes[0].executor;
+        let now = Instant::now();
+        let barrier = Barrier::new(2);
+        std::thread::scope(|scope| {
+            for (sequence, phase) in [(2, Phase::Ready), (3, Phase::Draining)] {
+                let barrier = &barrier;
+                scope.spawn(move || {
+                    barrier.wait();
+                    executor.report(&report("p1", sequence, phase), now);
+                });
+            }
+        });
+        let upstream = executor.upstream(now).expect("an upstream");
+        assert_eq!(upstream.report.phase, Phase::Draining, "round {round}");
+    }
+}
+
 #[test]
 fn age_of_repeats() {
     let patience = Patience::default();
