--- a/crates/lentilshunt-node/src/fleet/domain/feeds.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/feeds.rs
@@ -12,7 +12,7 @@
 use super::{Answer, Cache};
 use crate::relay::{
     Handler,
-    body::{Body, empty, whole},
+    body::{Body, bare, whole},
 };
 
 /// Path at which changes are asked for; table and revision follow.
@@ -38,13 +38,13 @@
         let table = parts.next().unwrap_or_default();
         let after = parts.next().and_then(|after| after.parse().ok());
         let Some(after) = after else {
-            return status(StatusCode::BAD_REQUEST);
+            return bare(StatusCode::BAD_REQUEST);
         };
         let until = Instant::now() + WAIT;
         let mut changed = self.cache.subscribe();
         loop {
             let Some(answer) = self.cache.answer(table, after) else {
-                return status(StatusCode::GONE);
+                return bare(StatusCode::GONE);
             };
             let waited = timeout_at(until.into(), changed.changed());
             if !answer.differences.is_empty() || !matches!(waited.await, Ok(Ok(()))) {
@@ -63,12 +63,6 @@
 fn encode(answer: &Answer) -> Response<Body> {
     match rmp_serde::to_vec(answer) {
         Ok(bytes) => Response::new(whole(bytes)),
-        Err(_unencodable) => status(StatusCode::INTERNAL_SERVER_ERROR),
+        Err(_unencodable) => bare(StatusCode::INTERNAL_SERVER_ERROR),
     }
 }
-
-fn status(status: StatusCode) -> Response<Body> {
-    let mut response = Response::new(empty());
-    *response.status_mut() = status;
-    response
-}
--- a/crates/lentilshunt-node/src/fleet/health.rs
+++ b/crates/lentilshunt-node/src/fleet/health.rs
@@ -7,7 +7,7 @@
 
 use crate::relay::{
     Handler, Shared,
-    body::{Body, empty},
+    body::{Body, bare},
 };
 
 /// Handler of the listener for readiness.
@@ -30,10 +30,11 @@
 
 impl Handler for Health {
     fn handle(&self, _request: Request<Incoming>) -> Pending<'_, Response<Body>> {
-        let mut response = Response::new(empty());
-        if !self.is_ready() {
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        }
-        Box::pin(std::future::ready(response))
+        let status = if self.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        Box::pin(std::future::ready(bare(status)))
     }
 }
--- a/crates/lentilshunt-node/src/fleet/report.rs
+++ b/crates/lentilshunt-node/src/fleet/report.rs
@@ -19,7 +19,7 @@
 use super::Translator;
 use crate::relay::{
     Executor, Handler, Shared,
-    body::{Body, Payload, empty, incoming, read, whole},
+    body::{Body, Payload, bare, incoming, read, whole},
     upstream::{Change, Report},
 };
 
@@ -61,18 +61,18 @@
         let (parts, body) = request.into_parts();
         let target = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let Ok(Payload::Whole(body)) = read(incoming(body), REPORT_BYTES).await else {
-            return status(StatusCode::BAD_REQUEST);
+            return bare(StatusCode::BAD_REQUEST);
         };
         match self.translator.report(target, &body) {
             Ok(report) if self.accepts(&report) => self.take(&report),
             Ok(report) => {
                 warn!(self.shared.log, "report of another upstream ignored";
                     "upstream" => report.process, "service" => report.service);
-                return status(StatusCode::BAD_REQUEST);
+                return bare(StatusCode::BAD_REQUEST);
             }
             Err(error) => {
                 warn!(self.shared.log, "report cannot be read"; "error" => %error);
-                return status(StatusCode::BAD_REQUEST);
+                return bare(StatusCode::BAD_REQUEST);
             }
         }
         let mut response = Response::new(whole(self.translator.acknowledgement()));
@@ -133,9 +133,3 @@
         Box::pin(self.answer(request))
     }
 }
-
-fn status(status: StatusCode) -> Response<Body> {
-    let mut response = Response::new(empty());
-    *response.status_mut() = status;
-    response
-}
--- a/crates/lentilshunt-node/src/relay/body.rs
+++ b/crates/lentilshunt-node/src/relay/body.rs
@@ -7,7 +7,10 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty, Full, combinators::UnsyncBoxBody};
-use hyper::body::{Body as _, Frame, Incoming, SizeHint};
+use hyper::{
+    Response, StatusCode,
+    body::{Body as _, Frame, Incoming, SizeHint},
+};
 
 /// Error of a body that ends early.
 pub type Error = Box<dyn std::error::Error + Send + Sync>;
@@ -37,6 +40,14 @@
         .boxed_unsync()
 }
 
+/// Returns a response with a status and no body.
+#[must_use]
+pub fn bare(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = status;
+    response
+}
+
 /// Returns a body of pieces that are still to arrive.
 #[must_use]
 pub fn incoming(body: Incoming) -> Body {
--- a/crates/lentilshunt-node/src/relay/entry.rs
+++ b/crates/lentilshunt-node/src/relay/entry.rs
@@ -21,7 +21,7 @@
 
 use super::{
     Call, Dispatcher, Reply, Shared,
-    body::{Body, Payload, empty, incoming, read},
+    body::{Body, Payload, bare, incoming, read},
     clock::Moment,
     dispatcher::Progress,
     head::text,
@@ -214,8 +214,7 @@
         return response;
     }
     let status = status(reply.verdict, reply.reason);
-    let mut response = Response::new(empty());
-    *response.status_mut() = status;
+    let mut response = bare(status);
     if status == StatusCode::SERVICE_UNAVAILABLE {
         let spread: f64 = rand::random();
         let seconds = match reply.reason {
--- a/crates/lentilshunt-node/src/relay/head.rs
+++ b/crates/lentilshunt-node/src/relay/head.rs
@@ -2,14 +2,19 @@
 
 use std::time::{Duration, Instant};
 
-use hyper::{HeaderMap, Request, Response, http::HeaderValue};
+use hyper::{HeaderMap, Request, Response, StatusCode, http::HeaderValue};
 use lentilshunt_core::{
     id::VersionId,
     quarantine::Fingerprint,
     verdict::{Reason, Verdict},
 };
 
-use super::{Call, Reply, body::Body, clock::Moment, header::end_to_end};
+use super::{
+    Call, Reply,
+    body::{Body, bare},
+    clock::Moment,
+    header::end_to_end,
+};
 
 /// Header of a call between nodes.
 const CALL: &str = "lentilshunt-call";
@@ -93,11 +98,8 @@
         reply.verdict,
         reason.as_deref().unwrap_or(NONE),
     );
-    let mut response = reply.response.unwrap_or_else(|| {
-        let mut refused = Response::new(super::body::empty());
-        *refused.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
-        refused
-    });
+    let refused = || bare(StatusCode::SERVICE_UNAVAILABLE);
+    let mut response = reply.response.unwrap_or_else(refused);
     if let Ok(value) = HeaderValue::try_from(text) {
         response.headers_mut().insert(REPLY, value);
     }
