fix(fleet): send differences from any of the last versions

The log of the node that was late shows "node does not tell changes of the store" five times in five seconds, then "store lost: deadline has elapsed": a reader's patch leads only from the version just before, so a node that had gathered two versions could not use it and read the whole table from the store, over 7 Mbit/s, beside its requests; the read did not end in 1.5 s and began again. Any table that a reader had read again (history forgotten) was read whole by all nodes of its domain as well.

Change: the asking node names the hashes of the large values that it holds; the reader keeps four earlier values and sends what differs, also after it has read the table again. A node that hears of a newer version asks its holder the same way, after 0.9 s instead of 1.5 s, before the table is read again (1.8 s). `overtaken` began anew with each wait for changes, so it never fired where a reader answers every 0.4 s.

Also: an idempotent request that one upstream failed and another refused ended in 503, as if it had not run; and one whose upstream had run out of time was sent once more. Both have tests that failed first; the tests of the differences do not compile with the old interface.

--- a/crates/lentilshunt-node/src/fleet/directory.rs
+++ b/crates/lentilshunt-node/src/fleet/directory.rs
@@ -3,7 +3,7 @@
 use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use lentilshunt_core::{
-    id::{InstanceId, VersionId},
+    id::InstanceId,
     membership::{View, weight},
 };
 use slog::{info, warn};
@@ -36,7 +36,7 @@
     }
 
     /// Takes what was read of the table and publishes the endpoints.
-    pub fn take(&mut self, news: News) -> VersionId {
+    pub fn take(&mut self, news: News) {
         let changes = match news {
             News::All(changes) => {
                 self.presences.clear();
@@ -52,7 +52,6 @@
         let directory = Directory::new(&view.endpoints, &self.shared.place);
         let directory = directory.with_readers(self.readers());
         self.shared.directory.store(Arc::new(directory));
-        0
     }
 
     /// Returns the nodes of the own failure domain, the one to read the store first.
--- a/crates/lentilshunt-node/src/fleet/domain/cache.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/cache.rs
@@ -1,7 +1,7 @@
-//! What a node has read of the store.
+//! What a node knows of the tables of the store.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use tokio::sync::watch;
 
-use super::{Answer, Difference, Patch};
+use super::{Answer, Difference, History};
 use crate::fleet::{Changes, Page};
 
 /// Rows of the tables that a node follows, with what they were before.
@@ -34,21 +34,23 @@
 struct Entry {
     /// Revision with which the value became known.
     revision: u64,
-    value: Option<Bytes>,
-    /// Value before, and the patch from it.
-    before: Option<Bytes>,
-    patch: Option<Patch>,
+    is_removed: bool,
+    values: History,
 }
 
 impl Cache {
     /// Takes a whole table that was current `age` ago.
     pub fn replace(&self, table: &str, page: &Page, age: Duration) {
+        let mut tables = self.lock();
+        let mut held = tables.remove(table).map(|held| held.rows);
         let rows = page.rows.iter().map(|row| {
-            let entry = Entry {
+            let held = held.as_mut().and_then(|held| held.remove(&row.key));
+            let mut entry = Entry {
                 revision: page.revision,
-                value: Some(row.value.clone()),
-                ..Entry::default()
+                values: held.map(|entry| entry.values).unwrap_or_default(),
+                is_removed: false,
             };
+            entry.values.push(row.value.clone());
             (row.key.clone(), entry)
         });
         let read = Table {
@@ -57,7 +59,8 @@
             fresh_at: before(age),
             rows: rows.collect(),
         };
-        self.lock().insert(table.to_owned(), read);
+        tables.insert(table.to_owned(), read);
+        drop(tables);
         self.changed.send_modify(|changed| *changed += 1);
     }
 
@@ -71,9 +74,9 @@
         held.fresh_at = held.fresh_at.max(before(age));
         for change in &changes.changes {
             let entry = held.rows.entry(change.key.clone()).or_default();
-            if entry.value != change.value {
-                entry.before = std::mem::replace(&mut entry.value, change.value.clone());
-                entry.patch = None;
+            entry.is_removed = change.value.is_none();
+            if let Some(value) = &change.value {
+                entry.values.push(value.clone());
             }
             entry.revision = changes.revision;
         }
@@ -84,28 +87,57 @@
     /// Returns a value that is held.
     #[must_use]
     pub fn value(&self, table: &str, key: &str) -> Option<Bytes> {
-        self.lock().get(table)?.rows.get(key)?.value.clone()
+        let tables = self.lock();
+        let entry = tables.get(table)?.rows.get(key)?;
+        entry.values.newest().cloned()
+    }
+
+    /// Returns the hashes of the large values that are held.
+    #[must_use]
+    pub fn hashes(&self, table: &str) -> Vec<u64> {
+        let tables = self.lock();
+        let rows = tables
+            .get(table)
+            .into_iter()
+            .flat_map(|held| held.rows.values());
+        rows.filter_map(|entry| entry.values.hash()).collect()
+    }
+
+    /// Returns the keys of the rows that are held.
+    #[must_use]
+    pub fn keys(&self, table: &str) -> BTreeSet<String> {
+        let tables = self.lock();
+        let rows = tables.get(table).into_iter().flat_map(|held| &held.rows);
+        let present = rows.filter(|(_, entry)| !entry.is_removed);
+        present.map(|(key, _)| key.clone()).collect()
     }
 
-    /// Returns the changes after a revision.
+    /// Returns the changes after a revision, for a node that holds values with some hashes.
     ///
-    /// Returns none when the table has not been read, or was read after that
-    /// revision, so that removed rows are not known.
+    /// Returns all rows when the table was read after that revision, so that
+    /// removed ones are not known, and none when it has not been read.
     #[must_use]
-    pub fn answer(&self, table: &str, after: u64) -> Option<Answer> {
+    pub fn answer(&self, table: &str, after: u64, hashes: &[u64]) -> Option<Answer> {
         let mut tables = self.lock();
         let held = tables.get_mut(table)?;
-        if after < held.base {
-            return None;
-        }
+        let whole = after < held.base;
         let age = held.fresh_at.elapsed().as_millis();
-        let changed = held.rows.iter_mut().filter(|(_, row)| row.revision > after);
-        let differences = changed.map(|(key, row)| Difference {
+        let told = held.rows.iter_mut().filter(|(_, row)| {
+            if whole {
+                !row.is_removed
+            } else {
+                row.revision > after
+            }
+        });
+        let differences = told.map(|(key, row)| Difference {
             key: key.clone(),
-            patch: row.patch(),
+            patch: (!row.is_removed)
+                .then(|| row.values.patch(hashes))
+                .flatten(),
         });
         Some(Answer {
             differences: differences.collect(),
+            whole,
             revision: held.revision,
             age_ms: u64::try_from(age).unwrap_or(u64::MAX),
         })
@@ -122,17 +154,6 @@
     }
 }
 
-impl Entry {
-    /// Returns the patch from the value before; it is made once for all receivers.
-    fn patch(&mut self) -> Option<Patch> {
-        let value = self.value.as_ref()?;
-        if self.patch.is_none() {
-            self.patch = Some(Patch::between(self.before.as_ref(), value));
-        }
-        self.patch.clone()
-    }
-}
-
 fn before(age: Duration) -> Instant {
     let now = Instant::now();
     now.checked_sub(age).unwrap_or(now)
--- a/crates/lentilshunt-node/src/fleet/domain/message.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/message.rs
@@ -14,13 +14,15 @@
     pub patch: Option<Patch>,
 }
 
-/// Changes of a table after a revision.
+/// Changes of a table after a revision, or all its rows.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Answer {
     /// Revision up to which the changes go.
     pub revision: u64,
     /// Milliseconds since the store confirmed that there is nothing newer.
     pub age_ms: u64,
+    /// Whether the table has no other rows than those told.
+    pub whole: bool,
     /// Changes, each row once.
     pub differences: Vec<Difference>,
 }
--- a/crates/lentilshunt-node/src/fleet/domain/patch.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/patch.rs
@@ -10,7 +10,7 @@
 /// Bytes of the hash by which blocks are compared.
 const HASH_BYTES: u32 = 8;
 /// Largest value that is sent whole although its base is known, in bytes.
-const WHOLE_BYTES: usize = 1024;
+pub(super) const WHOLE_BYTES: usize = 1024;
 /// Largest value that is put together, in bytes.
 const MAX_BYTES: usize = 16 * 1024 * 1024;
 
@@ -19,6 +19,11 @@
 pub enum Patch {
     /// The whole value.
     Whole(Bytes),
+    /// The value that the receiver holds.
+    Same {
+        /// Hash of the value.
+        hash: u64,
+    },
     /// What differs from the value with a hash, and the hash of the result.
     Delta {
         /// Hash of the earlier value.
@@ -45,8 +50,8 @@
         let mut delta = Vec::new();
         match diff(&signature.index(), value, &mut delta) {
             Ok(()) if delta.len() < value.len() => Self::Delta {
-                base: hash(base),
-                result: hash(value),
+                base: Self::hash(base),
+                result: Self::hash(value),
                 delta: delta.into(),
             },
             _ => Self::Whole(value.clone()),
@@ -60,20 +65,23 @@
     pub fn apply(&self, held: Option<&Bytes>) -> Option<Bytes> {
         match self {
             Self::Whole(value) => Some(value.clone()),
+            Self::Same { hash } => held.filter(|held| Self::hash(held) == *hash).cloned(),
             Self::Delta {
                 base,
                 result,
                 delta,
             } => {
-                let held = held.filter(|held| hash(held) == *base)?;
+                let held = held.filter(|held| Self::hash(held) == *base)?;
                 let mut value = Vec::new();
                 apply_limited(held, delta, &mut value, MAX_BYTES).ok()?;
-                (hash(&value) == *result).then(|| value.into())
+                (Self::hash(&value) == *result).then(|| value.into())
             }
         }
     }
-}
 
-fn hash(bytes: &[u8]) -> u64 {
-    rapidhash_v3(bytes)
+    /// Returns the hash by which values are compared.
+    #[must_use]
+    pub fn hash(bytes: &[u8]) -> u64 {
+        rapidhash_v3(bytes)
+    }
 }
--- a/crates/lentilshunt-node/src/fleet/domain/relayed.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/relayed.rs
@@ -1,28 +1,26 @@
 //! The store, read through another node of the failure domain where there is one.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
+    fmt::Display,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use hyper::{Request, StatusCode};
+use hyper::Request;
 use lentilshunt_net::Pending;
 use slog::info;
-use tokio::time::timeout_at;
+use tokio::time::sleep;
 
 use super::{
     Answer, Cache,
-    feeds::{PATH, WAIT},
+    feeds::{PATH, WAIT, name},
 };
 use crate::{
-    fleet::{Change, Changes, Error, Page, Rows},
-    relay::{
-        Pool, Shared, State,
-        body::{Payload, empty, read},
-    },
+    fleet::{Change, Changes, Error, Page, Rows, State},
+    relay::{Pool, Shared, body::empty},
 };
 
 /// Longest wait of one call to the store by a node that others ask.
@@ -31,6 +29,10 @@
 const ANSWER_TIME: Duration = Duration::from_millis(250);
 /// Time for which a node that did not help is not asked.
 const SHUN_TIME: Duration = Duration::from_secs(3);
+/// Pause after the store has forgotten changes, before the readers are asked for them.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(300);
+/// Readers that are asked for changes which the store has forgotten.
+const MAX_ASKED: usize = 2;
 /// Time before a version must be in force at which the store itself is asked.
 const MARGIN: Duration = Duration::from_millis(1200);
 
@@ -88,9 +90,36 @@
         } else {
             wait
         };
-        let changes = self.store.wait(table, after, wait).await?;
-        self.cache.apply(table, &changes, Duration::ZERO);
-        Ok(changes)
+        match self.store.wait(table, after, wait).await {
+            Err(Error::Forgotten { revision }) if is_shared => {
+                let told = self.catch_up(table, after).await;
+                told.ok_or(Error::Forgotten { revision })
+            }
+            waited => {
+                let changes = waited?;
+                self.cache.apply(table, &changes, Duration::ZERO);
+                Ok(changes)
+            }
+        }
+    }
+
+    /// Asks the readers for changes that the store has forgotten, rather than for all rows.
+    async fn catch_up(&self, table: &str, after: u64) -> Option<Changes> {
+        // The readers have to read the table again as well.
+        sleep(CATCH_UP_PAUSE).await;
+        let directory = self.shared.directory.load_full();
+        let own = &self.shared.place.instance;
+        let readers = directory.readers().iter().take(MAX_ASKED);
+        for (instance, address) in readers {
+            if instance == own {
+                return None;
+            }
+            let told = self.ask(*address, table, after).await;
+            if told.is_some() {
+                return told;
+            }
+        }
+        None
     }
 
     /// Returns the node to ask, or none if this one asks the store.
@@ -105,7 +134,6 @@
     }
 
     fn shun(&self, reader: SocketAddr) {
-        info!(self.shared.log, "node does not tell changes of the store"; "node" => %reader);
         metrics::counter!("lentilshunt_reader_lost_total").increment(1);
         let mut shunned = self.shunned.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
@@ -116,42 +144,70 @@
     /// Asks a node for changes; none stands for no help.
     async fn ask(&self, reader: SocketAddr, table: &str, after: u64) -> Option<Changes> {
         let mut request = Request::new(empty());
-        *request.uri_mut() = format!("{PATH}{table}/{after}").parse().ok()?;
-        let until = Instant::now() + WAIT + ANSWER_TIME;
-        let exchange = async {
-            let response = self.pool.send(reader, request).await.ok()?;
-            if response.status() != StatusCode::OK {
+        let held = name(&self.cache.hashes(table));
+        *request.uri_mut() = format!("{PATH}{table}/{after}/{held}").parse().ok()?;
+        let begin_by = Instant::now() + WAIT + ANSWER_TIME;
+        let limit = State::MAX_BYTES;
+        let fetched = self.pool.fetch(reader, request, begin_by, limit).await;
+        let bytes = match fetched {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                self.note(reader, &error);
                 return None;
             }
-            read(response.into_body(), State::MAX_BYTES).await.ok()
         };
-        let Ok(Some(Payload::Whole(bytes))) = timeout_at(until.into(), exchange).await else {
-            return None;
+        let answer: Answer = match rmp_serde::from_slice(&bytes) {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.note(reader, &error);
+                return None;
+            }
         };
-        let answer: Answer = rmp_serde::from_slice(&bytes).ok()?;
         let age = Duration::from_millis(answer.age_ms);
         if age > self.max_age {
+            self.note(
+                reader,
+                &format!("its knowledge is {} ms old", answer.age_ms),
+            );
             return None;
         }
-        let changes = self.translate(table, after, answer)?;
+        let Some(changes) = self.translate(table, after, answer) else {
+            self.note(reader, &"a difference is from another value");
+            return None;
+        };
         self.cache.apply(table, &changes, age);
         Some(changes)
     }
 
+    /// Logs why the answer of a node is not used.
+    fn note(&self, reader: SocketAddr, problem: &dyn Display) {
+        info!(self.shared.log, "node does not tell changes of the store";
+            "node" => %reader, "problem" => %problem);
+    }
+
     /// Returns the changes that an answer stands for, or none if a patch does not fit.
+    ///
+    /// An answer that tells the whole table says by it which rows are gone.
     fn translate(&self, table: &str, after: u64, answer: Answer) -> Option<Changes> {
         let mut changes = Vec::with_capacity(answer.differences.len());
+        let mut gone = if answer.whole {
+            self.cache.keys(table)
+        } else {
+            BTreeSet::new()
+        };
         for difference in answer.differences {
             let held = self.cache.value(table, &difference.key);
             let value = match difference.patch {
                 Some(patch) => Some(patch.apply(held.as_ref())?),
                 None => None,
             };
+            gone.remove(&difference.key);
             changes.push(Change {
                 key: difference.key,
                 value,
             });
         }
+        changes.extend(gone.into_iter().map(|key| Change { key, value: None }));
         Some(Changes {
             changes,
             revision: answer.revision.max(after),
--- a/crates/lentilshunt-node/src/fleet/follow.rs
+++ b/crates/lentilshunt-node/src/fleet/follow.rs
@@ -2,16 +2,17 @@
 
 use std::time::Duration;
 
-use lentilshunt_core::id::VersionId;
 use rand::RngExt;
 use slog::{Logger, info, warn};
-use tokio::{sync::watch, time::sleep};
+use tokio::time::sleep;
 
 use super::{Change, Error, Rows};
-use crate::relay::Newest;
+use crate::relay::Shared;
 
 /// Time in which a waiting call tells a version that another node has in force.
-const TELL_TIME: Duration = Duration::from_millis(900);
+///
+/// Before that, the other node is asked for it, which takes fewer bytes.
+const TELL_TIME: Duration = Duration::from_millis(1800);
 /// First pause after the store did not answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after the store did not answer.
@@ -39,14 +40,14 @@
 
 /// Reads a table and then its changes, and passes them on until the runtime ends.
 ///
-/// When another node has a version above `held`, the table is read again at
-/// once, as this node may have been left out.
+/// With `versions`, the table is read again when another node has had a newer
+/// version for a while, as this node may have been left out.
 pub async fn follow(
     rows: &dyn Rows,
     subject: Subject<'_>,
-    mut newest: Option<watch::Receiver<Newest>>,
+    versions: Option<&Shared>,
     log: &Logger,
-    mut take: impl FnMut(News) -> VersionId,
+    mut take: impl FnMut(News),
 ) {
     let table = subject.table;
     let mut pause = FIRST_PAUSE;
@@ -67,12 +68,14 @@
             key: row.key,
             value: Some(row.value),
         });
-        let mut held = take(News::All(all.collect()));
+        take(News::All(all.collect()));
         let mut revision = page.revision;
+        let overtaken = overtaken(versions);
+        tokio::pin!(overtaken);
         loop {
             let waited = tokio::select! {
                 waited = rows.wait(table, revision, subject.wait) => waited,
-                () = overtaken(&mut newest, held) => break,
+                () = &mut overtaken => break,
             };
             match waited {
                 Ok(changes) => {
@@ -80,7 +83,7 @@
                     pause = FIRST_PAUSE;
                     revision = changes.revision;
                     if !changes.changes.is_empty() {
-                        held = take(News::Some(changes.changes));
+                        take(News::Some(changes.changes));
                         sleep(jittered(subject.gather)).await;
                     }
                 }
@@ -102,18 +105,25 @@
 }
 
 /// Waits until another node has a version that this one is not told of.
-async fn overtaken(newest: &mut Option<watch::Receiver<Newest>>, held: VersionId) {
-    let ahead = match newest {
-        Some(newest) => newest
+async fn overtaken(versions: Option<&Shared>) {
+    let Some(shared) = versions else {
+        return std::future::pending().await;
+    };
+    let mut newest = shared.newest.subscribe();
+    loop {
+        let held = shared.version();
+        if newest
             .wait_for(|newest| newest.version > held)
             .await
-            .is_ok(),
-        None => false,
-    };
-    if !ahead {
-        std::future::pending::<()>().await;
+            .is_err()
+        {
+            return std::future::pending().await;
+        }
+        sleep(TELL_TIME).await;
+        if shared.version() == held {
+            return;
+        }
     }
-    sleep(TELL_TIME).await;
 }
 
 /// Logs that the store was lost or is back.
--- a/crates/lentilshunt-node/src/fleet/mod.rs
+++ b/crates/lentilshunt-node/src/fleet/mod.rs
@@ -19,10 +19,11 @@
 mod rules;
 mod shell;
 mod site;
+mod state;
 mod translator;
 
 pub use directory::Book;
-pub use domain::{Answer, Cache, Difference, Feeds, Patch, Relayed};
+pub use domain::{Answer, Cache, Difference, Feeds, History, Patch, Relayed};
 pub use follow::{News, Subject, follow};
 pub use health::Health;
 pub use neighbour::Neighbour;
@@ -33,4 +34,5 @@
 pub use rules::Installer;
 pub use shell::run;
 pub use site::{Listen, Site};
+pub use state::State;
 pub use translator::{Translator, Unreadable};
--- a/crates/lentilshunt-node/src/fleet/neighbour.rs
+++ b/crates/lentilshunt-node/src/fleet/neighbour.rs
@@ -6,20 +6,18 @@
     time::{Duration, Instant},
 };
 
-use hyper::{Request, Uri};
+use bytes::Bytes;
+use hyper::Request;
 use lentilshunt_core::membership::View;
 use slog::{info, warn};
-use tokio::time::{sleep, timeout_at};
+use tokio::time::sleep;
 
-use super::Installer;
-use crate::relay::{
-    Directory, Newest, Pool, Shared, State,
-    body::{Payload, empty, read},
-};
+use super::{Installer, Patch, State, domain::name};
+use crate::relay::{Directory, Newest, Pool, Shared, body::empty};
 
 /// Time that the store has to tell a version which another node has in force.
-const STORE_TIME: Duration = Duration::from_millis(1500);
-/// Longest time for asking another node.
+const STORE_TIME: Duration = Duration::from_millis(900);
+/// Longest time in which another node begins to answer.
 const TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause after a node was asked.
 const PAUSE: Duration = Duration::from_millis(300);
@@ -67,29 +65,38 @@
     }
 
     async fn ask(&self, node: SocketAddr) {
+        let held = self.installer.content();
         let mut request = Request::new(empty());
-        *request.uri_mut() = Uri::from_static(State::PATH);
-        let until = Instant::now() + TIMEOUT;
-        let exchange = async {
-            let response = self.pool.send(node, request).await.ok()?;
-            read(response.into_body(), State::MAX_BYTES).await.ok()
-        };
+        let name = held.as_ref().map(|held| name(&[Patch::hash(held)]));
+        let path = format!("{}{}", State::PATH, name.unwrap_or_default());
         let log = &self.shared.log;
-        let Ok(Some(Payload::Whole(bytes))) = timeout_at(until.into(), exchange).await else {
-            warn!(log, "node does not tell its state"; "node" => %node);
-            return;
+        match path.parse() {
+            Ok(uri) => *request.uri_mut() = uri,
+            Err(error) => {
+                warn!(log, "state cannot be asked for"; "path" => path, "error" => %error);
+                return;
+            }
+        }
+        let begin_by = Instant::now() + TIMEOUT;
+        let limit = State::MAX_BYTES;
+        let bytes = match self.pool.fetch(node, request, begin_by, limit).await {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                warn!(log, "node does not tell its state"; "node" => %node, "error" => %error);
+                return;
+            }
         };
         match State::decode(&bytes) {
-            Ok(state) => self.take(state, node),
+            Ok(state) => self.take(state, held.as_ref(), node, bytes.len()),
             Err(error) => warn!(log, "state cannot be read"; "node" => %node, "error" => %error),
         }
     }
 
-    fn take(&self, state: State, node: SocketAddr) {
+    fn take(&self, state: State, held: Option<&Bytes>, node: SocketAddr, size: usize) {
         info!(self.shared.log, "state taken from a node"; "node" => %node,
-            "records" => state.records.len());
-        if !state.rules.is_empty() {
-            self.installer.install(state.rules);
+            "records" => state.records.len(), "bytes" => size);
+        if let Some(rules) = state.rules.and_then(|patch| patch.apply(held)) {
+            self.installer.install(rules);
         }
         // What the store has told counts more than what a node knew of it.
         if self.shared.directory.load().nodes() == 0 {
--- a/crates/lentilshunt-node/src/fleet/rules.rs
+++ b/crates/lentilshunt-node/src/fleet/rules.rs
@@ -1,12 +1,11 @@
 //! Puts versions of the traffic rules in force.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
-use lentilshunt_core::id::VersionId;
 use slog::{info, warn};
 
-use super::{Change, Translator, follow::News};
+use super::{Change, History, State, Translator, follow::News};
 use crate::relay::Shared;
 
 /// Installs the traffic rules that the store holds.
@@ -15,6 +14,8 @@
     shared: Arc<Shared>,
     translator: Arc<dyn Translator>,
     key: String,
+    /// Content of the version in force, as the store holds it.
+    content: Mutex<History>,
 }
 
 impl Installer {
@@ -25,12 +26,36 @@
             shared,
             translator,
             key,
+            content: Mutex::default(),
         }
     }
 
-    /// Takes what was read of the table and returns the version in force.
+    /// Returns the content of the version in force, as the store holds it.
     #[must_use]
-    pub fn take(&self, news: News) -> VersionId {
+    pub fn content(&self) -> Option<Bytes> {
+        self.history().newest().cloned()
+    }
+
+    /// Returns the state of the node, for one that holds content with a hash.
+    #[must_use]
+    pub fn state(&self, held: Option<u64>) -> State {
+        let directory = self.shared.directory.load();
+        let records = match held {
+            Some(_) => Vec::new(),
+            None => State::records(&directory),
+        };
+        State {
+            rules: self.history().patch(held.as_slice()),
+            records,
+        }
+    }
+
+    fn history(&self) -> MutexGuard<'_, History> {
+        self.content.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes what was read of the table.
+    pub fn take(&self, news: News) {
         let (News::All(changes) | News::Some(changes)) = news;
         let own = changes
             .into_iter()
@@ -42,7 +67,6 @@
         {
             self.install(value);
         }
-        self.shared.version()
     }
 
     /// Puts a version in force if it can be read and is newer.
@@ -61,7 +85,7 @@
         if version <= held {
             return;
         }
-        self.shared.content.store(Arc::new(bytes));
+        self.history().push(bytes);
         self.shared.rules.store(Arc::new(rules));
         self.shared.learn(version, None);
         metrics::counter!("lentilshunt_versions_installed_total").increment(1);
--- a/crates/lentilshunt-node/src/fleet/shell.rs
+++ b/crates/lentilshunt-node/src/fleet/shell.rs
@@ -76,7 +76,14 @@
     let shared = Arc::new(share(&site, log.clone(), stop.clone()));
     let cache = Arc::new(Cache::default());
     let pool = Arc::new(Pool::new(CONNECT_TIMEOUT, IDLE_TIME));
-    let (handlers, records) = handlers(&site, &shared, &translator, &cache, &pool);
+    let installer = Installer::new(
+        Arc::clone(&shared),
+        Arc::clone(&translator),
+        site.rules_row.1.clone(),
+    );
+    let installer = Arc::new(installer);
+    let feeds = Arc::new(Feeds::new(Arc::clone(&cache), Arc::clone(&installer)));
+    let (handlers, records) = handlers(&site, &shared, &translator, feeds, &pool);
     let closing = Stop {
         leaving: stop.clone(),
         closed: CancellationToken::new(),
@@ -96,8 +103,6 @@
             .running,
         tokio::spawn(apply(Arc::clone(&shared), sites)),
     ];
-    let installer = Installer::new(Arc::clone(&shared), translator, site.rules_row.1.clone());
-    let installer = Arc::new(installer);
     let neighbour = Neighbour::new(
         Arc::clone(&shared),
         Arc::clone(&installer),
@@ -145,7 +150,7 @@
     site: &Site,
     shared: &Arc<Shared>,
     translator: &Arc<dyn Translator>,
-    cache: &Arc<Cache>,
+    feeds: Arc<Feeds>,
     pool: &Arc<Pool>,
 ) -> (Handlers, watch::Receiver<Option<Record>>) {
     let suspects = Arc::new(Suspects::new(Instant::now()));
@@ -168,7 +173,7 @@
         Arc::clone(&executor),
         suspects,
         site.listen.peers.port(),
-        Arc::new(Feeds::new(Arc::clone(cache))),
+        feeds,
     );
     let (records, published) = watch::channel(None);
     // Only tells starts of a node apart; the store orders its records.
@@ -246,7 +251,6 @@
         rules: ArcSwap::from_pointee(Rules::default()),
         directory: ArcSwap::from_pointee(Directory::default()),
         newest: watch::Sender::default(),
-        content: ArcSwap::default(),
         stop,
         log,
     }
@@ -273,9 +277,8 @@
         gather: GATHER_RULES,
         wait: WAIT_RULES,
     };
-    let newest = Some(shared.newest.subscribe());
-    follow(&*rows, subject, newest, &shared.log, |news| {
-        installer.take(news)
+    follow(&*rows, subject, Some(&shared), &shared.log, |news| {
+        installer.take(news);
     })
     .await;
 }
--- a/crates/lentilshunt-node/src/relay/state.rs
+++ b/crates/lentilshunt-node/src/fleet/state.rs
@@ -1,38 +1,32 @@
 //! What a node tells another one that cannot reach the store.
 
-use bytes::Bytes;
 use lentilshunt_core::membership::Endpoint;
 use lentilshunt_schema::peer::Record;
 use serde::{Deserialize, Serialize};
 
-use super::Shared;
+use super::Patch;
+use crate::relay::Directory;
 
 /// Traffic rules and endpoints that a node has in force.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct State {
-    /// Content of the version in force, as the store holds it; empty before the first.
-    pub rules: Bytes,
-    /// Records of the endpoints that may be called.
+    /// Content of the version in force, as the store holds it; none before the first.
+    pub rules: Option<Patch>,
+    /// Records of the endpoints that may be called, for a node without rules.
     pub records: Vec<Record>,
 }
 
 impl State {
-    /// Path at which nodes ask each other for their state.
-    pub const PATH: &str = "/.lentilshunt/state";
+    /// Path at which nodes ask each other for their state; the hash of what is held follows.
+    pub const PATH: &str = "/.lentilshunt/state/";
     /// Largest state that is taken, in bytes.
     pub const MAX_BYTES: usize = 8 * 1024 * 1024;
 
-    /// Returns the state of a node.
+    /// Returns the records of the endpoints of a directory.
     #[must_use]
-    pub fn of(shared: &Shared) -> Self {
-        let directory = shared.directory.load();
-        Self {
-            rules: Bytes::clone(&shared.content.load()),
-            records: directory
-                .endpoints()
-                .map(|endpoint| record(endpoint))
-                .collect(),
-        }
+    pub fn records(directory: &Directory) -> Vec<Record> {
+        let endpoints = directory.endpoints();
+        endpoints.map(|endpoint| record(endpoint)).collect()
     }
 
     /// Encodes the state for another node.
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -127,7 +127,7 @@
             let reply = self.attempt(&endpoint, call, body).await;
             progress.tried.push(endpoint.instance.clone());
             progress.sent += usize::from(reply.reached);
-            progress.may_have_run |= reply.verdict == Verdict::MayHaveRun;
+            progress.may_have_run |= reply.verdict != Verdict::NotRun;
             let may_retry = reply.verdict.permits_retry(call.idempotent)
                 || (call.idempotent && reply.is_upstream_failure());
             let is_over = !may_retry
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwapOption;
-use hyper::{HeaderMap, Request, Response, StatusCode, header::HeaderValue};
+use hyper::{Request, Response, StatusCode, header::HeaderValue};
 use lentilshunt_core::{
     id::InstanceId,
     quarantine::{Admittance, Suspects},
@@ -256,7 +256,7 @@
     }
 
     /// Tells an answer to the call from a refusal and from the answer to another request.
-    fn classify(&self, call: &Call, response: Response<Body>) -> Reply {
+    fn classify(&self, call: &Call, mut response: Response<Body>) -> Reply {
         let headers = response.headers();
         let has_not_run = headers.contains_key(&self.dialect.not_run)
             || response.status() == StatusCode::MISDIRECTED_REQUEST;
@@ -273,7 +273,10 @@
         if headers.get(&self.dialect.request).is_none() {
             return Reply::unknown(Reason::BadAnswer);
         }
-        Reply::answered(response.map(|body| body)).strip()
+        // Headers that concern the connection of the upstream end here.
+        let kept = header::end_to_end(response.headers());
+        *response.headers_mut() = kept;
+        Reply::answered(response)
     }
 }
 
@@ -281,14 +284,3 @@
 fn is_other(echoed: Option<&HeaderValue>, request: &str) -> bool {
     echoed.is_some_and(|echoed| echoed.as_bytes() != request.as_bytes())
 }
-
-impl Reply {
-    /// Removes the headers that concern the connection of the answer.
-    fn strip(mut self) -> Self {
-        if let Some(response) = &mut self.response {
-            let kept: HeaderMap = header::end_to_end(response.headers());
-            *response.headers_mut() = kept;
-        }
-        self
-    }
-}
--- a/crates/lentilshunt-node/src/relay/inbound.rs
+++ b/crates/lentilshunt-node/src/relay/inbound.rs
@@ -10,8 +10,8 @@
 use lentilshunt_net::Pending;
 
 use super::{
-    Executor, Reply, Shared, State,
-    body::{Body, Payload, empty, incoming, read, whole},
+    Executor, Reply, Shared,
+    body::{Body, Payload, empty, incoming, read},
     head::{read_call, write_reply},
     server::{Client, Handler},
 };
@@ -72,11 +72,8 @@
         write_reply(reply, self.executor.room(), self.shared.version())
     }
 
-    /// Takes the suspicions of another node, or tells it the state of this one.
+    /// Takes the suspicions of another node, or tells it that this one answers.
     async fn control(&self, request: Request<Incoming>) -> Response<Body> {
-        if request.uri().path() == State::PATH {
-            return Response::new(whole(State::of(&self.shared).encode()));
-        }
         if request.uri().path() == PRESENCE {
             return Response::new(empty());
         }
--- a/crates/lentilshunt-node/src/relay/reply.rs
+++ b/crates/lentilshunt-node/src/relay/reply.rs
@@ -1,6 +1,6 @@
 //! What an attempt, or a whole call, came to.
 
-use hyper::Response;
+use hyper::{Response, StatusCode};
 use lentilshunt_core::{
     id::VersionId,
     verdict::{Reason, Verdict},
@@ -71,10 +71,15 @@
         self
     }
 
-    /// Returns whether the upstream itself answered with a failure.
+    /// Returns whether the upstream failed in a way in which another one may not.
+    ///
+    /// One that ran out of time leaves none for another attempt.
     #[must_use]
     pub fn is_upstream_failure(&self) -> bool {
         let response = self.response.as_ref();
-        response.is_some_and(|response| response.status().is_server_error())
+        response.is_some_and(|response| {
+            let status = response.status();
+            status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT
+        })
     }
 }
--- a/crates/lentilshunt-node/src/relay/shared.rs
+++ b/crates/lentilshunt-node/src/relay/shared.rs
@@ -3,7 +3,6 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use arc_swap::ArcSwap;
-use bytes::Bytes;
 use lentilshunt_core::{
     id::{InstanceId, ServiceId, VersionId},
     membership::{Endpoint, Phase},
@@ -54,8 +53,6 @@
     pub directory: ArcSwap<Directory>,
     /// Highest version that this or another node has in force.
     pub newest: watch::Sender<Newest>,
-    /// Content of the version in force, as the store holds it.
-    pub content: ArcSwap<Bytes>,
     /// Cancelled when the node begins to stop.
     pub stop: CancellationToken,
     /// Structured log.
--- a/crates/lentilshunt-node/tests/fleet/domain.rs
+++ b/crates/lentilshunt-node/tests/fleet/domain.rs
@@ -6,12 +6,14 @@
 use hyper::{Request, Response, body::Incoming};
 use lentilshunt_net::{Pending, http::Stop};
 use lentilshunt_node::{
-    fleet::{Cache, Change, Changes, Feeds, Page, Patch, Relayed, Row, Rows},
+    fleet::{
+        self, Cache, Change, Changes, Feeds, Installer, Neighbour, Page, Patch, Relayed, Row, Rows,
+    },
     relay::{Allowance, Directory, Handler, Pool, Server, body::Body},
 };
 use proptest::prelude::*;
 
-use crate::{Store, TABLE, changed, shared};
+use crate::{Numbers, Store, TABLE, changed, shared};
 
 const APPLY: Duration = Duration::from_secs(3);
 
@@ -53,12 +55,13 @@
 #[test]
 fn cache_answers_what_changed() {
     let cache = Cache::default();
-    assert_eq!(cache.answer(TABLE, 5), None);
+    assert_eq!(cache.answer(TABLE, 5, &[]), None);
     cache.replace(TABLE, &page(5, &[("a", "1"), ("b", "2")]), Duration::ZERO);
-    // Rows that were removed before the table was read are not known.
-    assert_eq!(cache.answer(TABLE, 4), None);
+    // Rows that were removed before the table was read are known by what is left.
+    let all = cache.answer(TABLE, 4, &[]).expect("an answer");
+    assert_eq!((all.whole, all.differences.len()), (true, 2));
     let keys = |after| -> Vec<(String, bool)> {
-        let answer = cache.answer(TABLE, after).expect("an answer");
+        let answer = cache.answer(TABLE, after, &[]).expect("an answer");
         let differences = answer.differences.into_iter();
         differences
             .map(|row| (row.key, row.patch.is_some()))
@@ -74,7 +77,7 @@
     let expected = vec![("a".to_owned(), false), ("b".to_owned(), true)];
     assert_eq!(keys(5), expected);
     assert!(keys(8).is_empty());
-    assert_eq!(cache.answer(TABLE, 5).expect("an answer").revision, 8);
+    assert_eq!(cache.answer(TABLE, 5, &[]).expect("an answer").revision, 8);
 }
 
 /// Answers the questions of other nodes as the reader of a failure domain.
@@ -87,13 +90,18 @@
     }
 }
 
+fn installer() -> Arc<Installer> {
+    let installer = Installer::new(shared(), Arc::new(Numbers), "rules".to_owned());
+    Arc::new(installer)
+}
+
 async fn reader(cache: Arc<Cache>) -> SocketAddr {
     let allowance = Allowance {
         head_bytes: 16 * 1024,
         head_time: Duration::from_secs(5),
     };
     let address = "127.0.0.1:0".parse().expect("an address");
-    let handler = Arc::new(Reader(Feeds::new(cache)));
+    let handler = Arc::new(Reader(Feeds::new(cache, installer())));
     let server = Server::bind(address, handler, allowance).await;
     let server = server.expect("a free port");
     let address = server.address().expect("an address");
@@ -155,3 +163,104 @@
     let told = relayed.wait(TABLE, 1, APPLY).await;
     assert_eq!(told.expect("changes"), expected);
 }
+
+#[tokio::test]
+async fn wait_some_versions_behind() {
+    let store = Arc::new(Store::default());
+    let long = |version: u64| format!("{version} {}", "x".repeat(5000));
+    let change = |version| vec![changed("rules", &long(version))];
+    let cache = Arc::new(Cache::default());
+    cache.replace(TABLE, &page(1, &[("rules", &long(1))]), Duration::ZERO);
+    let relayed = relayed(&store, reader(Arc::clone(&cache)).await);
+    let told = relayed.wait(TABLE, 0, APPLY).await;
+    assert_eq!(told.expect("all rows"), changes(1, change(1)));
+    for version in 2..5 {
+        cache.apply(TABLE, &changes(version, change(version)), Duration::ZERO);
+    }
+    let told = relayed.wait(TABLE, 1, APPLY).await;
+    assert_eq!(told.expect("changes"), changes(4, change(4)));
+    let answer = cache.answer(TABLE, 1, &[Patch::hash(long(1).as_bytes())]);
+    let patch = answer.expect("an answer").differences[0].patch.clone();
+    assert!(matches!(patch, Some(Patch::Delta { .. })));
+}
+
+#[tokio::test]
+async fn wait_after_reader_read_the_table_again() {
+    let store = Arc::new(Store::default());
+    let rules = format!("1 {}", "x".repeat(5000));
+    let before = page(1, &[("a", "1"), ("rules", &rules)]);
+    store.rows.lock().unwrap().extend(
+        before
+            .rows
+            .iter()
+            .map(|row| (row.key.clone(), row.value.clone())),
+    );
+    let cache = Arc::new(Cache::default());
+    cache.replace(TABLE, &before, Duration::ZERO);
+    let relayed = relayed(&store, reader(Arc::clone(&cache)).await);
+    relayed.read(TABLE).await.expect("a page");
+    cache.replace(TABLE, &page(9, &[("rules", &rules)]), Duration::ZERO);
+    let told = relayed.wait(TABLE, 1, APPLY).await;
+    let gone = Change {
+        key: "a".to_owned(),
+        value: None,
+    };
+    let expected = changes(9, vec![changed("rules", &rules), gone]);
+    assert_eq!(told.expect("changes"), expected);
+    // What both hold is not sent again.
+    let answer = cache.answer(TABLE, 1, &[Patch::hash(rules.as_bytes())]);
+    let patch = answer.expect("an answer").differences[0].patch.clone();
+    let hash = Patch::hash(rules.as_bytes());
+    assert_eq!(patch, Some(Patch::Same { hash }));
+}
+
+#[tokio::test]
+async fn wait_after_store_and_reader_forgot() {
+    let store = Arc::new(Store::default());
+    let forgotten = Err(fleet::Error::Forgotten { revision: 1 });
+    store.waits.lock().unwrap().push(forgotten);
+    let cache = Arc::new(Cache::default());
+    let relayed = relayed(&store, reader(Arc::clone(&cache)).await);
+    let read_again = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        cache.replace(TABLE, &page(9, &[("rules", "9")]), Duration::ZERO);
+    };
+    let (told, ()) = tokio::join!(relayed.wait(TABLE, 1, APPLY), read_again);
+    let expected = changes(9, vec![changed("rules", "9")]);
+    assert_eq!(told.expect("changes"), expected);
+    assert_eq!(*store.reads.lock().unwrap(), 0);
+}
+
+#[tokio::test]
+async fn neighbour_takes_newer_version() {
+    let long = |version: u64| Bytes::from(format!("{version} {}", "x".repeat(5000)));
+    let ahead = installer();
+    ahead.install(long(1));
+    ahead.install(long(2));
+    let allowance = Allowance {
+        head_bytes: 16 * 1024,
+        head_time: Duration::from_secs(5),
+    };
+    let feeds = Feeds::new(Arc::default(), Arc::clone(&ahead));
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let server = Server::bind(any, Arc::new(Reader(feeds)), allowance).await;
+    let server = server.expect("a free port");
+    let address = server.address().expect("an address");
+    tokio::spawn(server.run(Stop::default()));
+
+    let shared = shared();
+    let behind = Installer::new(Arc::clone(&shared), Arc::new(Numbers), "rules".to_owned());
+    let behind = Arc::new(behind);
+    behind.install(long(1));
+    let pool = Arc::new(Pool::new(
+        Duration::from_millis(400),
+        Duration::from_secs(5),
+    ));
+    let neighbour = Neighbour::new(Arc::clone(&shared), Arc::clone(&behind), pool);
+    tokio::spawn(neighbour.run());
+    shared.learn(2, Some(address));
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    assert_eq!(behind.content(), Some(long(2)));
+    let told = ahead.state(Some(Patch::hash(&long(1)))).rules;
+    assert!(matches!(told, Some(Patch::Delta { .. })));
+}
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the meeting of nodes and of versions, over a scripted store.
 
 mod domain;
+mod state;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -23,7 +24,7 @@
         Book, Change, Changes, Error, Installer, News, Page, Presence, Publisher, Row, Rows,
         Subject, Translator, Unreadable, follow,
     },
-    relay::{Dialect, Directory, Newest, Shared, upstream::Report},
+    relay::{Dialect, Directory, Shared, upstream::Report},
 };
 use slog::{Discard, Logger, o};
 use tokio::sync::watch;
@@ -113,14 +114,15 @@
     }
 }
 
-/// Reads rules that are only a version number.
+/// Reads rules that begin with a version number.
 #[derive(Debug)]
 struct Numbers;
 
 impl Translator for Numbers {
     fn rules(&self, bytes: &[u8], _random: u64) -> Result<Rules, Unreadable> {
         let text = std::str::from_utf8(bytes).unwrap_or_default();
-        let version = text.parse().map_err(|_malformed| Unreadable {
+        let version = text.split(' ').next().unwrap_or_default();
+        let version = version.parse().map_err(|_malformed| Unreadable {
             field: "version".to_owned(),
             problem: "is not a number".to_owned(),
         })?;
@@ -155,7 +157,6 @@
         rules: ArcSwap::from_pointee(Rules::default()),
         directory: ArcSwap::from_pointee(Directory::default()),
         newest: watch::Sender::default(),
-        content: ArcSwap::default(),
         stop: CancellationToken::new(),
         log: Logger::root(Discard, o!()),
     })
@@ -182,13 +183,16 @@
 fn install_only_newer_and_readable() {
     let shared = shared();
     let installer = Installer::new(Arc::clone(&shared), Arc::new(Numbers), "rules".to_owned());
-    let take = |change| installer.take(News::Some(vec![change]));
+    let take = |change| {
+        installer.take(News::Some(vec![change]));
+        shared.version()
+    };
     assert_eq!(take(changed("rules", "4")), 4);
     assert_eq!(take(changed("rules", "3")), 4);
     assert_eq!(take(changed("rules", "cut short")), 4);
     assert_eq!(take(changed("another row", "9")), 4);
     assert_eq!(take(changed("rules", "9")), 9);
-    assert_eq!(&**shared.content.load(), &Bytes::from_static(b"9"));
+    assert_eq!(installer.content(), Some(Bytes::from_static(b"9")));
 }
 
 #[tokio::test(start_paused = true)]
@@ -216,7 +220,6 @@
             News::All(changes) => (true, changes),
             News::Some(changes) => (false, changes),
         });
-        0
     });
     assert!(
         tokio::time::timeout(Duration::from_mins(1), following)
@@ -231,18 +234,23 @@
 #[tokio::test(start_paused = true)]
 async fn follow_when_another_node_is_ahead() {
     let store = Store::default();
-    let newest = watch::Sender::new(Newest::default());
     let log = log();
-    let following = follow(&store, SUBJECT, Some(newest.subscribe()), &log, |_news| 3);
+    let shared = shared();
+    let following = follow(&store, SUBJECT, Some(&shared), &log, |_news| {});
+    let peer = Some("10.0.0.1:80".parse().expect("an address"));
     let ahead = async {
         tokio::time::sleep(Duration::from_secs(5)).await;
         assert_eq!(*store.reads.lock().unwrap(), 1);
-        newest.send_replace(Newest {
-            version: 4,
-            node: None,
-        });
-        tokio::time::sleep(Duration::from_millis(1500)).await;
-        assert!(*store.reads.lock().unwrap() > 1);
+        shared.learn(4, peer);
+        // The version comes from elsewhere in time.
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        let rules = Rules::new(4, Limits::default(), BTreeSet::new());
+        shared.rules.store(Arc::new(rules));
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        assert_eq!(*store.reads.lock().unwrap(), 1);
+        shared.learn(5, peer);
+        tokio::time::sleep(Duration::from_millis(2500)).await;
+        assert_eq!(*store.reads.lock().unwrap(), 2);
     };
     tokio::select! {
         () = following => {}
--- a/crates/lentilshunt-node/tests/relay/head.rs
+++ b/crates/lentilshunt-node/tests/fleet/state.rs
@@ -1,13 +1,13 @@
 //! Tests of the state that nodes tell each other.
 
 use bytes::Bytes;
-use lentilshunt_node::relay::State;
+use lentilshunt_node::fleet::{Patch, State};
 use proptest::prelude::*;
 
 #[test]
 fn state_round_trip() {
     let state = State {
-        rules: Bytes::from_static(b"rules"),
+        rules: Some(Patch::Whole(Bytes::from_static(b"rules"))),
         records: Vec::new(),
     };
     assert_eq!(State::decode(&state.encode()).expect("a state"), state);
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -26,7 +26,7 @@
     traffic::{Limits, Part, Route, Rules, Split},
 };
 use lentilshunt_net::{Pending, http::Stop};
-use lentilshunt_node::fleet::{Cache, Feeds};
+use lentilshunt_node::fleet::{Feeds, Installer, Translator, Unreadable};
 use lentilshunt_node::relay::{
     Allowance, Dialect, Directory, Dispatcher, Entry, Executor, Handler, Inbound, Pool, Server,
     Shared,
@@ -75,6 +75,9 @@
     }
 }
 
+/// Whether an upstream has failed a request that only the first one fails.
+static MIXED: AtomicBool = AtomicBool::new(false);
+
 impl Upstream {
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         self.running.fetch_add(1, Ordering::SeqCst);
@@ -101,7 +104,24 @@
                 response
             }
             "broken" => Response::new(broken()),
-
+            "expired" => {
+                let mut response = Response::new(whole("no time left"));
+                *response.status_mut() = StatusCode::GATEWAY_TIMEOUT;
+                response
+            }
+            // The first upstream fails, all others refuse.
+            "mixed" if parts.headers.contains_key("fail-first") => {
+                let is_first = !MIXED.swap(true, Ordering::SeqCst);
+                let mut response = Response::new(whole("failed or full"));
+                if is_first {
+                    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+                } else {
+                    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                    let headers = response.headers_mut();
+                    headers.insert("not-run", HeaderValue::from_static("1"));
+                }
+                response
+            }
             "failing" => {
                 let mut response = Response::new(whole("failed"));
                 *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
@@ -278,6 +298,24 @@
     })
 }
 
+/// Translator of a deployment without a store.
+#[derive(Debug)]
+struct Unused;
+
+impl Translator for Unused {
+    fn rules(&self, _bytes: &[u8], _random: u64) -> Result<Rules, Unreadable> {
+        unreachable!("the rules are set by the fixture")
+    }
+
+    fn report(&self, _path_and_query: &str, _body: &[u8]) -> Result<Report, Unreadable> {
+        unreachable!("reports are passed to the executor")
+    }
+
+    fn acknowledgement(&self) -> Bytes {
+        Bytes::new()
+    }
+}
+
 async fn node(index: usize, beside: Option<SocketAddr>) -> Node {
     let stop = CancellationToken::new();
     let upstream = Arc::new(Upstream::default());
@@ -294,7 +332,6 @@
         rules: ArcSwap::from_pointee(rules()),
         directory: ArcSwap::from_pointee(Directory::default()),
         newest: watch::Sender::default(),
-        content: ArcSwap::default(),
         stop: stop.clone(),
         log: Logger::root(Discard, o!()),
     });
@@ -318,7 +355,8 @@
         pool,
     );
     let entry = Entry::new(Arc::clone(&shared), Arc::new(dispatcher));
-    let feeds = Arc::new(Feeds::new(Arc::new(Cache::default())));
+    let installer = Installer::new(Arc::clone(&shared), Arc::new(Unused), String::new());
+    let feeds = Arc::new(Feeds::new(Arc::default(), Arc::new(installer)));
     let inbound = Inbound::new(
         Arc::clone(&shared),
         Arc::clone(&executor),
--- a/crates/lentilshunt-node/tests/relay/path.rs
+++ b/crates/lentilshunt-node/tests/relay/path.rs
@@ -146,6 +146,36 @@
     assert_eq!(answer.headers["seal"], "sealed");
 }
 
+/// Makes calls that earn the credit for retries.
+async fn earn_retries(node: &Node) {
+    for _ in 0..4 {
+        let answer = call(node, "/x", &[], empty()).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+}
+
+#[tokio::test]
+async fn call_failed_and_then_refused() {
+    let nodes = nodes(2).await;
+    earn_retries(&nodes[0]).await;
+    let before = runs(&nodes);
+    let answer = call(&nodes[0], "/mixed/x", &[("fail-first", "1")], empty()).await;
+    assert_eq!(runs(&nodes) - before, 2);
+    // One upstream has run the request, so the answer does not say otherwise.
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+}
+
+#[tokio::test]
+async fn call_with_upstream_out_of_time() {
+    let nodes = nodes(2).await;
+    earn_retries(&nodes[0]).await;
+    let before = runs(&nodes);
+    let answer = call(&nodes[0], "/expired/x", &[], empty()).await;
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(answer.headers["seal"], "sealed");
+    assert_eq!(runs(&nodes) - before, 1);
+}
+
 #[tokio::test]
 async fn call_at_timeout_of_route() {
     let nodes = nodes(1).await;
