--- a/crates/lentilshunt-node/src/fleet/shell.rs
+++ b/crates/lentilshunt-node/src/fleet/shell.rs
@@ -46,7 +46,7 @@
 /// A call that the store forgot in an outage is noticed earlier by the versions of other nodes.
 const WAIT_RULES: Duration = Duration::from_secs(8);
 /// Pause after changed records that the store told, in which further ones gather.
-const GATHER_RECORDS: Duration = Duration::from_millis(1500);
+const GATHER_RECORDS: Duration = Duration::from_millis(700);
 /// Longest wait of one call for changed records.
 const WAIT_RECORDS: Duration = Duration::from_secs(15);
 /// Time for which a stopping node still runs calls of other nodes.
