--- a/crates/lentilshunt-node/tests/relay/path.rs
+++ b/crates/lentilshunt-node/tests/relay/path.rs
@@ -244,27 +244,55 @@
     }
 }
 
-#[tokio::test]
-async fn call_with_dead_node() {
-    let nodes = nodes(2).await;
-    let mut endpoints: Vec<_> = nodes[0]
-        .shared
-        .directory
-        .load()
-        .endpoints()
-        .cloned()
-        .collect();
+/// Makes all nodes but the first stand at an address, and its own upstream leave.
+fn send_to(nodes: &[Node], address: std::net::SocketAddr) {
+    let first = &nodes[0];
+    let mut endpoints: Vec<_> = first.shared.directory.load().endpoints().cloned().collect();
     for endpoint in &mut endpoints {
         let endpoint = std::sync::Arc::make_mut(endpoint);
-        if endpoint.instance == "n1" {
-            endpoint.address = "127.0.0.1:1".parse().unwrap();
+        if endpoint.instance != "n0" {
+            endpoint.address = address;
         }
     }
-    let directory = lentilshunt_node::relay::Directory::new(&endpoints, &nodes[0].shared.place);
-    nodes[0].shared.directory.store(directory.into());
-    nodes[0]
+    let directory = lentilshunt_node::relay::Directory::new(&endpoints, &first.shared.place);
+    first.shared.directory.store(directory.into());
+    first
         .executor
         .report(&report("p1", 2, Phase::Draining), Instant::now());
+}
+
+/// Calls a node whose peer takes connections and says nothing, and returns status and time.
+async fn call_with_silent_peer(stops: bool) -> (StatusCode, Duration) {
+    let nodes = nodes(2).await;
+    let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    send_to(&nodes, silent.local_addr().unwrap());
+    if stops {
+        nodes[0].stop.cancel();
+    }
+    let begun_at = Instant::now();
+    let answer = call(&nodes[0], "/x", &[], empty()).await;
+    (answer.status, begun_at.elapsed())
+}
+
+#[tokio::test]
+async fn call_with_silent_node() {
+    let (status, elapsed) = call_with_silent_peer(false).await;
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+    assert!(elapsed < Duration::from_millis(1300), "{elapsed:?}");
+}
+
+#[tokio::test]
+async fn call_on_stopping_node_with_silent_node() {
+    // The answer may still come, and a stopping node does not end it.
+    let (status, elapsed) = call_with_silent_peer(true).await;
+    assert_eq!(status, StatusCode::GATEWAY_TIMEOUT);
+    assert!(elapsed >= Duration::from_millis(1500), "{elapsed:?}");
+}
+
+#[tokio::test]
+async fn call_with_dead_node() {
+    let nodes = nodes(2).await;
+    send_to(&nodes, "127.0.0.1:1".parse().unwrap());
     let answer = call(&nodes[0], "/once/x", &[], empty()).await;
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(runs(&nodes), 0);
