feat(routing): weigh load by the response time of each endpoint

Change: an endpoint keeps a moving average of its response times, which counts for 3 s; of two random endpoints the one is chosen whose load times response time is less, and the own upstream is passed over when one in the failure domain answers in less than half its time. Unknown times do not count. The tests fail without it (the first of two equal loads is chosen).

--- a/crates/lentilshunt-core/src/routing/local.rs
+++ b/crates/lentilshunt-core/src/routing/local.rs
@@ -10,11 +10,14 @@
 /// Part of the slots of the own region that must be free before calls come back to it.
 const RETURN_PART: i64 = 4;
 
+/// Times by which the own endpoint may be slower than one in the failure domain.
+const SLOWER: u32 = 2;
+
 /// Prefers the own instance, failure domain and region while they have room.
 ///
 /// Calls go to another region only when no nearer endpoint has predicted room,
-/// and come back when a part of the near slots is free again. Within a tier
-/// the less loaded of two random endpoints is chosen.
+/// and come back when a part of the near slots is free again. Within a tier, of
+/// two random endpoints the one is chosen that has less load for its speed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Local;
 
@@ -87,13 +90,18 @@
     }
     let is_usable = [Candidate::has_warm_room, Candidate::has_room];
     is_usable.into_iter().find_map(|is_usable| {
-        (0..AWAY).find_map(|distance| {
-            let tier = home().filter(|candidate| candidate.distance == distance);
+        let tier = |distance| {
+            let tier = home().filter(move |candidate| candidate.distance == distance);
             better_of_two(
                 tier.filter(|candidate| is_usable(candidate)),
                 selection.random,
             )
-        })
+        };
+        let own = tier(0).map(|own| match tier(1) {
+            Some(near) if own.is_slower(&near) => near,
+            _ => own,
+        });
+        own.or_else(|| (1..AWAY).find_map(tier))
     })
 }
 
@@ -138,6 +146,23 @@
         self.has_room() && self.standing.load < share
     }
 
+    /// Returns whether the own endpoint answers so late that another machine is worth the way.
+    fn is_slower(&self, near: &Self) -> bool {
+        let responses = self.standing.response_us.zip(near.standing.response_us);
+        responses.is_some_and(|(own, near)| own / SLOWER > near)
+    }
+
+    /// Returns whether the endpoint is expected to answer before another one.
+    ///
+    /// Load counts by how long the endpoints take, where that is known of both.
+    fn is_better(&self, other: &Self) -> bool {
+        let (own, others) = (u128::from(self.burden()), u128::from(other.burden()));
+        match self.standing.response_us.zip(other.standing.response_us) {
+            Some((response, other)) => own * u128::from(response) < others * u128::from(other),
+            None => own < others,
+        }
+    }
+
     /// Returns the load as a part of the warm slots, in thousandths.
     fn burden(&self) -> u64 {
         let slots = u64::from(self.endpoint.slots).max(1);
@@ -146,7 +171,7 @@
     }
 }
 
-/// Returns the less burdened of two different random candidates.
+/// Returns the one of two different random candidates that is expected to answer first.
 fn better_of_two<'b, 'a: 'b>(
     candidates: impl Iterator<Item = &'b Candidate<'a>>,
     random: u64,
@@ -157,7 +182,7 @@
     let step = 1 + (random >> u32::BITS).checked_rem(count - 1).unwrap_or(0);
     let pick = |index: u64| candidates[usize::try_from(index % count).unwrap_or_default()];
     let (first, second) = (pick(first), pick(first + step));
-    Some(if second.burden() < first.burden() {
+    Some(if second.is_better(&first) {
         *second
     } else {
         *first
--- a/crates/lentilshunt-core/src/routing/observation.rs
+++ b/crates/lentilshunt-core/src/routing/observation.rs
@@ -25,6 +25,12 @@
 const DRAINING_TIME: Duration = Duration::from_secs(10);
 /// Time for which the room of a reply counts.
 const ROOM_LIFETIME: Duration = Duration::from_millis(250);
+/// Part of the distance to a new response time by which the known one moves.
+const SMOOTHING: u32 = 8;
+/// Time for which a response time counts.
+///
+/// An endpoint that was slow and is not chosen must be tried again to be known as well.
+const RESPONSE_LIFETIME: Duration = Duration::from_secs(3);
 /// Time in which a new endpoint gets its full share.
 const SLOW_START: Duration = Duration::from_secs(5);
 /// Time after the last use at which an observation may be forgotten.
@@ -48,6 +54,9 @@
     drained: ArcSwapOption<Endpoint>,
     drained_until: Moment,
     warm_at: Moment,
+    /// Moving average of the response times, in microseconds; zero before the first.
+    response_us: AtomicU32,
+    response_expires_at: Moment,
     expires_at: Moment,
 }
 
@@ -62,6 +71,8 @@
     pub load: u64,
     /// Share of its slots that the endpoint gets, in thousandths.
     pub warmth: u64,
+    /// Average of the response times of late, in microseconds; none when not known.
+    pub response_us: Option<u32>,
 }
 
 /// Whether an endpoint may be chosen.
@@ -92,6 +103,8 @@
             drained: ArcSwapOption::empty(),
             drained_until: moment(),
             warm_at: moment(),
+            response_us: AtomicU32::new(0),
+            response_expires_at: moment(),
             expires_at: moment(),
         };
         observation.warm_at.set(now + SLOW_START);
@@ -129,6 +142,7 @@
             room,
             load: u64::try_from(load).unwrap_or(0),
             warmth: self.warmth(now),
+            response_us: self.response_us(now),
         }
     }
 
@@ -145,6 +159,25 @@
         self.room.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Takes the response time of an answered attempt.
+    pub(super) fn respond(&self, response: Duration, now: Instant) {
+        let response = u32::try_from(response.as_micros())
+            .unwrap_or(u32::MAX)
+            .max(1);
+        // A response time that is lost to a concurrent update does no harm.
+        let moved = match self.response_us(now) {
+            Some(known) => known - known / SMOOTHING + response / SMOOTHING,
+            None => response,
+        };
+        self.response_us.store(moved.max(1), Ordering::Relaxed);
+        self.response_expires_at.set(now + RESPONSE_LIFETIME);
+    }
+
+    fn response_us(&self, now: Instant) -> Option<u32> {
+        let known = self.response_expires_at.is_after(now);
+        known.then(|| self.response_us.load(Ordering::Relaxed))
+    }
+
     /// Takes the outcome of an attempt and the room that its reply told.
     pub(super) fn record(
         &self,
--- a/crates/lentilshunt-core/src/routing/observations.rs
+++ b/crates/lentilshunt-core/src/routing/observations.rs
@@ -28,6 +28,7 @@
 #[derive(Debug)]
 pub struct Attempt {
     endpoint: Arc<Endpoint>,
+    begun_at: Instant,
     observation: Arc<Observation>,
 }
 
@@ -49,6 +50,7 @@
         observation.begin(now);
         Attempt {
             endpoint: Arc::clone(endpoint),
+            begun_at: now,
             observation,
         }
     }
@@ -117,7 +119,11 @@
     pub fn end(self, outcome: Outcome, room: Option<u32>, now: Instant) {
         let observation = Arc::clone(&self.observation);
         let endpoint = Arc::clone(&self.endpoint);
+        let response = now.saturating_duration_since(self.begun_at);
         drop(self);
+        if outcome == Outcome::Healthy {
+            observation.respond(response, now);
+        }
         observation.record(&endpoint, outcome, room, now);
     }
 }
--- a/crates/lentilshunt-core/tests/routing/fixture.rs
+++ b/crates/lentilshunt-core/tests/routing/fixture.rs
@@ -1,6 +1,10 @@
 //! Endpoints and routes.
 
-use std::{net::SocketAddr, sync::Arc, time::Instant};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use lentilshunt_core::{
     config::Service,
@@ -59,6 +63,14 @@
             .end(outcome, room, now);
     }
 
+    /// Ends an attempt on an endpoint that took a time until `now`.
+    pub fn respond(&self, instance: &str, response: Duration, now: Instant) {
+        let endpoint = self.endpoint(instance);
+        self.observations
+            .begin(&endpoint, now - response)
+            .end(Outcome::Healthy, None, now);
+    }
+
     pub fn endpoint(&self, instance: &str) -> Arc<Endpoint> {
         let found = self.route.endpoints().find(|e| e.instance == instance);
         Arc::clone(found.expect("a known instance"))
--- a/crates/lentilshunt-core/tests/routing/local.rs
+++ b/crates/lentilshunt-core/tests/routing/local.rs
@@ -155,3 +155,39 @@
     assert_eq!(share(begun), (Some(4), None));
     assert_eq!(share(begun + WARM), (Some(2), Some(2)));
 }
+
+#[test]
+fn choose_by_response_time() {
+    let fixture = Fixture::new([&[], &["near-1", "near-2"], &[], &[]]);
+    let _ = fixture.choose(&Local, &[], fixture.origin, 0);
+    let now = fixture.origin + WARM;
+    let choose = |now, first| fixture.choose(&Local, &[], now, first);
+    fixture.respond("near-1", Duration::from_millis(300), now);
+    // Without a response time of both, the first of two equal ones is chosen.
+    assert_eq!(choose(now, 0), "near-1");
+    fixture.respond("near-2", Duration::from_millis(100), now);
+    assert_eq!([choose(now, 0), choose(now, 1)], ["near-2", "near-2"]);
+    // Three calls in flight make the faster one the slower.
+    let endpoint = fixture.endpoint("near-2");
+    let in_flight = [(); 3].map(|()| fixture.observations.begin(&endpoint, now));
+    assert_eq!([choose(now, 0), choose(now, 1)], ["near-1", "near-1"]);
+    drop(in_flight);
+    // What was seen a while ago does not count.
+    let later = now + Duration::from_secs(4);
+    assert_eq!([choose(later, 0), choose(later, 1)], ["near-1", "near-2"]);
+}
+
+#[test]
+fn choose_own_unless_much_slower() {
+    let fixture = Fixture::new([&["own"], &["near-1"], &[], &[]]);
+    let _ = fixture.choose(&Local, &[], fixture.origin, 0);
+    let now = fixture.origin + WARM;
+    let responses = [(150, "own"), (250, "near-1")];
+    for (response, expected) in responses {
+        // Far enough apart that one case does not count in the next.
+        let now = now + Duration::from_millis(response) * 40;
+        fixture.respond("own", Duration::from_millis(response), now);
+        fixture.respond("near-1", Duration::from_millis(100), now);
+        assert_eq!(fixture.choose(&Local, &[], now, 0), expected);
+    }
+}
