perf(fleet): let readers wait longer for records than for rules

Change: a table has a pace of its own: records are waited for 3 s in one call, and may be twice as old before a reader is left.

--- a/crates/lentilshunt-core/src/routing/local.rs
+++ b/crates/lentilshunt-core/src/routing/local.rs
@@ -182,7 +182,7 @@
     let step = 1 + (random >> u32::BITS).checked_rem(count - 1).unwrap_or(0);
     let pick = |index: u64| candidates[usize::try_from(index % count).unwrap_or_default()];
     let (first, second) = (pick(first), pick(first + step));
-    Some(if second.is_better(&first) {
+    Some(if second.is_better(first) {
         *second
     } else {
         *first
--- a/crates/lentilshunt-core/tests/routing/fixture.rs
+++ b/crates/lentilshunt-core/tests/routing/fixture.rs
@@ -63,12 +63,12 @@
             .end(outcome, room, now);
     }
 
-    /// Ends an attempt on an endpoint that took a time until `now`.
+    /// Makes an attempt on an endpoint that is answered after a time.
     pub fn respond(&self, instance: &str, response: Duration, now: Instant) {
         let endpoint = self.endpoint(instance);
         self.observations
-            .begin(&endpoint, now - response)
-            .end(Outcome::Healthy, None, now);
+            .begin(&endpoint, now)
+            .end(Outcome::Healthy, None, now + response);
     }
 
     pub fn endpoint(&self, instance: &str) -> Arc<Endpoint> {
--- a/crates/lentilshunt-node/src/fleet/domain/relayed.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/relayed.rs
@@ -23,8 +23,6 @@
     relay::{Pool, Shared, body::empty},
 };
 
-/// Longest wait of one call to the store by a node that others ask.
-const STORE_WAIT: Duration = Duration::from_millis(800);
 /// Time for an answer of a node besides its wait.
 const ANSWER_TIME: Duration = Duration::from_millis(250);
 /// Time for which a node that did not help is not asked.
@@ -46,12 +44,20 @@
     /// Oldest knowledge of the store that is relied upon.
     max_age: Duration,
     shunned: Mutex<HashMap<SocketAddr, Instant>>,
-    /// Pause after changes of each table that the store told, in which further ones gather.
-    pauses: HashMap<String, Duration>,
+    paces: HashMap<String, Pace>,
     /// Instants until which further changes of the tables gather.
     gathered_at: Mutex<HashMap<String, Instant>>,
 }
 
+/// How a table is read.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    /// Pause after changes that the store told, in which further ones gather.
+    pause: Duration,
+    /// Longest wait of one call to the store while other nodes ask this one.
+    wait: Duration,
+}
+
 impl Relayed {
     /// Creates a view of the store in which changes are at most `apply` late.
     #[must_use]
@@ -69,17 +75,18 @@
             cache,
             max_age: apply.saturating_sub(MARGIN),
             shunned: Mutex::default(),
-            pauses: HashMap::new(),
+            paces: HashMap::new(),
             gathered_at: Mutex::default(),
         }
     }
 
-    /// Sets the pause after changes of a table that the store told.
+    /// Sets how a table is read: the pause after changes that the store told, in which
+    /// further ones gather, and the longest wait of one call while other nodes ask this one.
     ///
-    /// Calls to the store are fewer by it; those to other nodes do not wait.
+    /// Calls to the store are fewer by both; those to other nodes do not wait.
     #[must_use]
-    pub fn with_pause(mut self, table: &str, pause: Duration) -> Self {
-        self.pauses.insert(table.to_owned(), pause);
+    pub fn with_pace(mut self, table: &str, pause: Duration, wait: Duration) -> Self {
+        self.paces.insert(table.to_owned(), Pace { pause, wait });
         self
     }
 
@@ -101,7 +108,7 @@
             }
         }
         let wait = if is_shared {
-            wait.min(STORE_WAIT)
+            wait.min(self.pace(table).wait)
         } else {
             wait
         };
@@ -122,6 +129,10 @@
         }
     }
 
+    fn pace(&self, table: &str) -> Pace {
+        self.paces.get(table).copied().unwrap_or_default()
+    }
+
     /// Waits while changes of a table gather.
     async fn gather(&self, table: &str) {
         let gathered_at = {
@@ -136,12 +147,10 @@
 
     /// Lets further changes of a table gather for a while.
     fn note_changes(&self, table: &str) {
-        if let Some(pause) = self.pauses.get(table) {
-            let gathered_at = Instant::now() + jittered(*pause);
-            let held = self.gathered_at.lock();
-            let mut held = held.unwrap_or_else(PoisonError::into_inner);
-            held.insert(table.to_owned(), gathered_at);
-        }
+        let gathered_at = Instant::now() + jittered(self.pace(table).pause);
+        let held = self.gathered_at.lock();
+        let mut held = held.unwrap_or_else(PoisonError::into_inner);
+        held.insert(table.to_owned(), gathered_at);
     }
 
     /// Asks the readers for changes that the store has forgotten, rather than for all rows.
@@ -205,7 +214,8 @@
             }
         };
         let age = Duration::from_millis(answer.age_ms);
-        if age > self.max_age {
+        // A table that is read less often is older without any fault.
+        if age > self.max_age.max(self.pace(table).wait * 2) {
             self.note(
                 reader,
                 &format!("its knowledge is {} ms old", answer.age_ms),
--- a/crates/lentilshunt-node/src/fleet/shell.rs
+++ b/crates/lentilshunt-node/src/fleet/shell.rs
@@ -47,13 +47,21 @@
 const WAIT_RULES: Duration = Duration::from_secs(8);
 /// Pause after changed records that the store told, in which further ones gather.
 const GATHER_RECORDS: Duration = Duration::from_millis(700);
+/// Longest wait of one call for a version, by a node that others ask.
+///
+/// Their knowledge is as old as this at most.
+const READ_RULES: Duration = Duration::from_millis(800);
+/// Longest wait of one call for changed records, by a node that others ask.
+///
+/// A node that loses the store is noticed by the age of what it tells of the rules.
+const READ_RECORDS: Duration = Duration::from_secs(3);
 /// Longest wait of one call for changed records.
 const WAIT_RECORDS: Duration = Duration::from_secs(15);
 /// Time for which a stopping node still runs calls of other nodes.
 ///
 /// A restart of many nodes takes away the less capacity the longer this is; the
 /// other nodes hear of the stop before the listener closes.
-const SERVICE: Duration = Duration::from_millis(2000);
+const SERVICE: Duration = Duration::from_secs(2);
 /// Time after which a stopping node closes its listeners.
 ///
 /// Callers leave after two failed checks of readiness, one second apart.
@@ -120,8 +128,8 @@
     );
     tasks.push(tokio::spawn(neighbour.run()));
     let relayed = Relayed::new(rows, Arc::clone(&shared), pool, cache, site.apply)
-        .with_pause(&site.rules_row.0, GATHER_RULES)
-        .with_pause(&site.nodes_table, GATHER_RECORDS);
+        .with_pace(&site.rules_row.0, GATHER_RULES, READ_RULES)
+        .with_pace(&site.nodes_table, GATHER_RECORDS, READ_RECORDS);
     tasks.extend(follow_store(
         &site,
         &shared,
--- a/crates/lentilshunt-node/tests/fleet/domain.rs
+++ b/crates/lentilshunt-node/tests/fleet/domain.rs
@@ -154,6 +154,19 @@
     assert_eq!(told.expect("changes"), expected);
 }
 
+#[tokio::test]
+async fn wait_with_reader_that_reads_seldom() {
+    let store = Arc::new(Store::default());
+    let cache = Arc::new(Cache::default());
+    let change = vec![changed("rules", "9")];
+    cache.replace(TABLE, &page(1, &[]), Duration::from_secs(2));
+    cache.apply(TABLE, &changes(9, change.clone()), Duration::from_secs(2));
+    let relayed = relayed(&store, reader(cache).await);
+    let relayed = relayed.with_pace(TABLE, Duration::ZERO, Duration::from_secs(3));
+    let told = relayed.wait(TABLE, 1, APPLY).await;
+    assert_eq!(told.expect("changes"), changes(9, change));
+}
+
 #[tokio::test]
 async fn wait_with_dead_reader() {
     let store = Arc::new(Store::default());
