refactor(fleet): move the pace of reads from the store into a type of its own

The view of the store had grown to two matters, whom to ask and how often. Its line about a reader names the table. No change of behaviour; tests of the fleet and the relay pass.

--- a/crates/lentilshunt-node/src/fleet/domain/mod.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/mod.rs
@@ -9,6 +9,7 @@
 mod feeds;
 mod history;
 mod message;
+mod pace;
 mod patch;
 mod relayed;
 
@@ -17,5 +18,6 @@
 pub(super) use feeds::name;
 pub use history::History;
 pub use message::{Answer, Difference};
+use pace::Pace;
 pub use patch::Patch;
 pub use relayed::Relayed;
--- a/crates/lentilshunt-node/src/fleet/domain/relayed.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/relayed.rs
@@ -12,14 +12,14 @@
 use hyper::Request;
 use lentilshunt_net::Pending;
 use slog::info;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::sleep;
 
 use super::{
-    Answer, Cache,
+    Answer, Cache, Pace,
     feeds::{PATH, WAIT, name},
 };
 use crate::{
-    fleet::{Change, Changes, Error, Page, Rows, State, follow::jittered},
+    fleet::{Change, Changes, Error, Page, Rows, State},
     relay::{Pool, Shared, body::empty},
 };
 
@@ -44,18 +44,7 @@
     /// Oldest knowledge of the store that is relied upon.
     max_age: Duration,
     shunned: Mutex<HashMap<SocketAddr, Instant>>,
-    paces: HashMap<String, Pace>,
-    /// Instants until which further changes of the tables gather.
-    gathered_at: Mutex<HashMap<String, Instant>>,
-}
-
-/// How a table is read.
-#[derive(Clone, Copy, Debug, Default)]
-struct Pace {
-    /// Pause after changes that the store told, in which further ones gather.
-    pause: Duration,
-    /// Longest wait of one call to the store while other nodes ask this one.
-    wait: Duration,
+    pace: Pace,
 }
 
 impl Relayed {
@@ -75,18 +64,15 @@
             cache,
             max_age: apply.saturating_sub(MARGIN),
             shunned: Mutex::default(),
-            paces: HashMap::new(),
-            gathered_at: Mutex::default(),
+            pace: Pace::default(),
         }
     }
 
-    /// Sets how a table is read: the pause after changes that the store told, in which
-    /// further ones gather, and the longest wait of one call while other nodes ask this one.
-    ///
-    /// Calls to the store are fewer by both; those to other nodes do not wait.
+    /// Sets how a table is read from the store, see [`Pace::set`]; other nodes are asked
+    /// without pauses.
     #[must_use]
     pub fn with_pace(mut self, table: &str, pause: Duration, wait: Duration) -> Self {
-        self.paces.insert(table.to_owned(), Pace { pause, wait });
+        self.pace.set(table, pause, wait);
         self
     }
 
@@ -108,11 +94,11 @@
             }
         }
         let wait = if is_shared {
-            wait.min(self.pace(table).wait)
+            wait.min(self.pace.wait(table))
         } else {
             wait
         };
-        self.gather(table).await;
+        self.pace.gather(table).await;
         match self.store.wait(table, after, wait).await {
             Err(Error::Forgotten { revision }) if is_shared => {
                 let told = self.catch_up(table, after).await;
@@ -122,37 +108,13 @@
                 let changes = waited?;
                 self.cache.apply(table, &changes, Duration::ZERO);
                 if !changes.changes.is_empty() {
-                    self.note_changes(table);
+                    self.pace.note_changes(table);
                 }
                 Ok(changes)
             }
         }
     }
 
-    fn pace(&self, table: &str) -> Pace {
-        self.paces.get(table).copied().unwrap_or_default()
-    }
-
-    /// Waits while changes of a table gather.
-    async fn gather(&self, table: &str) {
-        let gathered_at = {
-            let held = self.gathered_at.lock();
-            let held = held.unwrap_or_else(PoisonError::into_inner);
-            held.get(table).copied()
-        };
-        if let Some(gathered_at) = gathered_at {
-            sleep_until(gathered_at.into()).await;
-        }
-    }
-
-    /// Lets further changes of a table gather for a while.
-    fn note_changes(&self, table: &str) {
-        let gathered_at = Instant::now() + jittered(self.pace(table).pause);
-        let held = self.gathered_at.lock();
-        let mut held = held.unwrap_or_else(PoisonError::into_inner);
-        held.insert(table.to_owned(), gathered_at);
-    }
-
     /// Asks the readers for changes that the store has forgotten, rather than for all rows.
     async fn catch_up(&self, table: &str, after: u64) -> Option<Changes> {
         // The readers have to read the table again as well.
@@ -202,28 +164,26 @@
         let bytes = match fetched {
             Ok(bytes) => bytes,
             Err(error) => {
-                self.note(reader, &error);
+                self.note(reader, table, &error);
                 return None;
             }
         };
         let answer: Answer = match rmp_serde::from_slice(&bytes) {
             Ok(answer) => answer,
             Err(error) => {
-                self.note(reader, &error);
+                self.note(reader, table, &error);
                 return None;
             }
         };
         let age = Duration::from_millis(answer.age_ms);
         // A table that is read less often is older without any fault.
-        if age > self.max_age.max(self.pace(table).wait * 2) {
-            self.note(
-                reader,
-                &format!("its knowledge is {} ms old", answer.age_ms),
-            );
+        if age > self.max_age.max(self.pace.wait(table) * 2) {
+            let problem = format!("its knowledge is {} ms old", answer.age_ms);
+            self.note(reader, table, &problem);
             return None;
         }
         let Some(changes) = self.translate(table, after, answer) else {
-            self.note(reader, &"a difference is from another value");
+            self.note(reader, table, &"a difference is from another value");
             return None;
         };
         self.cache.apply(table, &changes, age);
@@ -231,9 +191,9 @@
     }
 
     /// Logs why the answer of a node is not used.
-    fn note(&self, reader: SocketAddr, problem: &dyn Display) {
+    fn note(&self, reader: SocketAddr, table: &str, problem: &dyn Display) {
         info!(self.shared.log, "node does not tell changes of the store";
-            "node" => %reader, "problem" => %problem);
+            "node" => %reader, "table" => table, "problem" => %problem);
     }
 
     /// Returns the changes that an answer stands for, or none if a patch does not fit.
--- a/crates/lentilshunt-node/src/fleet/shell.rs
+++ b/crates/lentilshunt-node/src/fleet/shell.rs
@@ -97,11 +97,11 @@
     let installer = Arc::new(installer);
     let feeds = Arc::new(Feeds::new(Arc::clone(&cache), Arc::clone(&installer)));
     let refusing = CancellationToken::new();
-    let upkeep = Upkeep {
+    let peering = Peering {
         feeds,
-        refusing: refusing.clone(),
+        closing: refusing.clone(),
     };
-    let (handlers, records) = handlers(&site, &shared, &translator, upkeep, &pool);
+    let (handlers, records) = handlers(&site, &shared, &translator, peering, &pool);
     let closing = Stop {
         leaving: stop.clone(),
         closed: CancellationToken::new(),
@@ -168,9 +168,9 @@
 }
 
 /// What the listener for other nodes answers besides calls, and until when it takes them.
-struct Upkeep {
+struct Peering {
     feeds: Arc<Feeds>,
-    refusing: CancellationToken,
+    closing: CancellationToken,
 }
 
 /// Creates the path of a request, and the records that are to be published.
@@ -178,7 +178,7 @@
     site: &Site,
     shared: &Arc<Shared>,
     translator: &Arc<dyn Translator>,
-    upkeep: Upkeep,
+    peering: Peering,
     pool: &Arc<Pool>,
 ) -> (Handlers, watch::Receiver<Option<Record>>) {
     let suspects = Arc::new(Suspects::new(Instant::now()));
@@ -201,8 +201,8 @@
         Arc::clone(&executor),
         suspects,
         site.listen.peers.port(),
-        upkeep.feeds,
-        upkeep.refusing,
+        peering.feeds,
+        peering.closing,
     );
     let (records, published) = watch::channel(None);
     // Only tells starts of a node apart; the store orders its records.
