--- a/crates/lentilshunt-node/src/fleet/domain/relayed.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/relayed.rs
@@ -68,8 +68,11 @@
         }
     }
 
-    /// Sets how a table is read from the store, see [`Pace::set`]; other nodes are asked
-    /// without pauses.
+    /// Sets how a table is read from the store.
+    ///
+    /// Further changes gather in a `pause` after some that the store told. `wait`
+    /// is the longest wait of one call while other nodes ask this one; they are
+    /// asked themselves without pauses.
     #[must_use]
     pub fn with_pace(mut self, table: &str, pause: Duration, wait: Duration) -> Self {
         self.pace.set(table, pause, wait);
