--- a/crates/lentilshunt-node/src/fleet/domain/cache.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/cache.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard},
     time::{Duration, Instant},
 };
 
@@ -10,7 +10,10 @@
 use tokio::sync::watch;
 
 use super::{Answer, Difference, History};
-use crate::fleet::{Changes, Page};
+use crate::{
+    executor::locked,
+    fleet::{Changes, Page},
+};
 
 /// Rows of the tables that a node follows, with what they were before.
 #[derive(Debug, Default)]
@@ -150,7 +153,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<String, Table>> {
-        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+        locked(&self.tables)
     }
 }
 
--- a/crates/lentilshunt-node/src/fleet/domain/history.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/history.rs
@@ -80,7 +80,7 @@
             return Some(Patch::Whole(newest.clone()));
         };
         let patch = &mut base.patch;
-        let made = patch.get_or_insert_with(|| Patch::between(Some(&base.value), newest));
+        let made = patch.get_or_insert_with(|| Patch::between(&base.value, newest));
         Some(made.clone())
     }
 }
--- a/crates/lentilshunt-node/src/fleet/domain/pace.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/pace.rs
@@ -2,13 +2,13 @@
 
 use std::{
     collections::HashMap,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::Mutex,
     time::{Duration, Instant},
 };
 
 use tokio::time::sleep_until;
 
-use crate::fleet::follow::jittered;
+use crate::{executor::locked, fleet::follow::jittered};
 
 /// How the tables of the store are read; one without an entry is read without pauses.
 #[derive(Debug, Default)]
@@ -18,7 +18,7 @@
     gathered_at: Mutex<HashMap<String, Instant>>,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct Table {
     pause: Duration,
     wait: Duration,
@@ -33,15 +33,15 @@
         self.tables.insert(table.to_owned(), Table { pause, wait });
     }
 
-    /// Returns the longest wait of one call while other nodes ask this one.
+    /// Returns the longest wait of one call while other nodes ask this one, if it is set.
     #[must_use]
-    pub fn wait(&self, table: &str) -> Duration {
-        self.table(table).wait
+    pub fn wait(&self, table: &str) -> Option<Duration> {
+        self.tables.get(table).map(|table| table.wait)
     }
 
     /// Waits while changes of a table gather.
     pub async fn gather(&self, table: &str) {
-        let gathered_at = self.lock().get(table).copied();
+        let gathered_at = locked(&self.gathered_at).get(table).copied();
         if let Some(gathered_at) = gathered_at {
             sleep_until(gathered_at.into()).await;
         }
@@ -49,17 +49,9 @@
 
     /// Lets further changes of a table gather for a while.
     pub fn note_changes(&self, table: &str) {
-        let gathered_at = Instant::now() + jittered(self.table(table).pause);
-        self.lock().insert(table.to_owned(), gathered_at);
-    }
-
-    fn table(&self, table: &str) -> Table {
-        self.tables.get(table).copied().unwrap_or_default()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HashMap<String, Instant>> {
-        self.gathered_at
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        if let Some(Table { pause, .. }) = self.tables.get(table) {
+            let gathered_at = Instant::now() + jittered(*pause);
+            locked(&self.gathered_at).insert(table.to_owned(), gathered_at);
+        }
     }
 }
--- a/crates/lentilshunt-node/src/fleet/domain/patch.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/patch.rs
@@ -36,12 +36,12 @@
 }
 
 impl Patch {
-    /// Returns the patch from an earlier value, if there is one.
+    /// Returns the patch from an earlier value.
     #[must_use]
-    pub fn between(base: Option<&Bytes>, value: &Bytes) -> Self {
-        let Some(base) = base.filter(|_| value.len() > WHOLE_BYTES) else {
+    pub fn between(base: &Bytes, value: &Bytes) -> Self {
+        if value.len() <= WHOLE_BYTES {
             return Self::Whole(value.clone());
-        };
+        }
         let options = SignatureOptions {
             block_size: BLOCK_BYTES,
             crypto_hash_size: HASH_BYTES,
--- a/crates/lentilshunt-node/src/fleet/domain/relayed.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/relayed.rs
@@ -2,9 +2,9 @@
 
 use std::{
     collections::{BTreeSet, HashMap},
-    fmt::Display,
+    error,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
@@ -19,6 +19,7 @@
     feeds::{PATH, WAIT, name},
 };
 use crate::{
+    executor::locked,
     fleet::{Change, Changes, Error, Page, Rows, State},
     relay::{Pool, Shared, body::empty},
 };
@@ -96,11 +97,8 @@
                 None => self.shun(reader),
             }
         }
-        let wait = if is_shared {
-            wait.min(self.pace.wait(table))
-        } else {
-            wait
-        };
+        let limit = self.pace.wait(table).filter(|_| is_shared);
+        let wait = limit.map_or(wait, |limit| wait.min(limit));
         self.pace.gather(table).await;
         match self.store.wait(table, after, wait).await {
             Err(Error::Forgotten { revision }) if is_shared => {
@@ -140,7 +138,7 @@
     /// Returns the node to ask, or none if this one asks the store.
     fn reader(&self, readers: &[(String, SocketAddr)]) -> Option<SocketAddr> {
         let now = Instant::now();
-        let shunned = self.shunned.lock().unwrap_or_else(PoisonError::into_inner);
+        let shunned = locked(&self.shunned);
         let is_shunned =
             |address: &SocketAddr| shunned.get(address).is_some_and(|until| *until > now);
         let mut usable = readers.iter().filter(|(_, address)| !is_shunned(address));
@@ -150,7 +148,7 @@
 
     fn shun(&self, reader: SocketAddr) {
         metrics::counter!("lentilshunt_reader_lost_total").increment(1);
-        let mut shunned = self.shunned.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut shunned = locked(&self.shunned);
         let now = Instant::now();
         shunned.retain(|_, until| *until > now);
         shunned.insert(reader, now + SHUN_TIME);
@@ -158,45 +156,38 @@
 
     /// Asks a node for changes; none stands for no help.
     async fn ask(&self, reader: SocketAddr, table: &str, after: u64) -> Option<Changes> {
+        let told = self.told(reader, table, after).await;
+        told.map_err(|problem| {
+            info!(self.shared.log, "node does not tell changes of the store";
+                "node" => %reader, "table" => table, "problem" => %problem);
+        })
+        .ok()
+    }
+
+    /// Returns what a node tells, or why it is not used.
+    async fn told(
+        &self,
+        reader: SocketAddr,
+        table: &str,
+        after: u64,
+    ) -> Result<Changes, Box<dyn error::Error + Send + Sync>> {
         let mut request = Request::new(empty());
         let held = name(&self.cache.hashes(table));
-        *request.uri_mut() = format!("{PATH}{table}/{after}/{held}").parse().ok()?;
+        *request.uri_mut() = format!("{PATH}{table}/{after}/{held}").parse()?;
         let begin_by = Instant::now() + WAIT + ANSWER_TIME;
         let limit = State::MAX_BYTES;
-        let fetched = self.pool.fetch(reader, request, begin_by, limit).await;
-        let bytes = match fetched {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                self.note(reader, table, &error);
-                return None;
-            }
-        };
-        let answer: Answer = match rmp_serde::from_slice(&bytes) {
-            Ok(answer) => answer,
-            Err(error) => {
-                self.note(reader, table, &error);
-                return None;
-            }
-        };
+        let bytes = self.pool.fetch(reader, request, begin_by, limit).await?;
+        let answer: Answer = rmp_serde::from_slice(&bytes)?;
         let age = Duration::from_millis(answer.age_ms);
         // A table that is read less often is older without any fault.
-        if age > self.max_age.max(self.pace.wait(table) * 2) {
-            let problem = format!("its knowledge is {} ms old", answer.age_ms);
-            self.note(reader, table, &problem);
-            return None;
+        let wait = self.pace.wait(table).unwrap_or_default();
+        if age > self.max_age.max(wait * 2) {
+            return Err(format!("its knowledge is {} ms old", answer.age_ms).into());
         }
-        let Some(changes) = self.translate(table, after, answer) else {
-            self.note(reader, table, &"a difference is from another value");
-            return None;
-        };
+        let changes = self.translate(table, after, answer);
+        let changes = changes.ok_or("a difference is from another value")?;
         self.cache.apply(table, &changes, age);
-        Some(changes)
-    }
-
-    /// Logs why the answer of a node is not used.
-    fn note(&self, reader: SocketAddr, table: &str, problem: &dyn Display) {
-        info!(self.shared.log, "node does not tell changes of the store";
-            "node" => %reader, "table" => table, "problem" => %problem);
+        Ok(changes)
     }
 
     /// Returns the changes that an answer stands for, or none if a patch does not fit.
--- a/crates/lentilshunt-node/src/fleet/report.rs
+++ b/crates/lentilshunt-node/src/fleet/report.rs
@@ -1,7 +1,7 @@
 //! Takes the reports of the upstream beside the node.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::Instant,
 };
 
@@ -17,10 +17,13 @@
 use tokio::sync::watch;
 
 use super::Translator;
-use crate::relay::{
-    Executor, Handler, Shared,
-    body::{Body, Payload, bare, incoming, read, whole},
-    upstream::{Change, Report},
+use crate::{
+    executor::locked,
+    relay::{
+        Executor, Handler, Shared,
+        body::{Body, Payload, bare, incoming, read, whole},
+        upstream::{Change, Report},
+    },
 };
 
 /// Largest report, in bytes.
@@ -106,7 +109,7 @@
             slots: report.slots,
             load: 0,
         };
-        let mut owner = self.owner.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut owner = locked(&self.owner);
         if owner.announce(&announcement) {
             self.records.send_replace(Some(owner.record().clone()));
         }
--- a/crates/lentilshunt-node/src/fleet/rules.rs
+++ b/crates/lentilshunt-node/src/fleet/rules.rs
@@ -1,12 +1,12 @@
 //! Puts versions of the traffic rules in force.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use bytes::Bytes;
 use slog::{info, warn};
 
 use super::{Change, History, State, Translator, follow::News};
-use crate::relay::Shared;
+use crate::{executor::locked, relay::Shared};
 
 /// Installs the traffic rules that the store holds.
 #[derive(Debug)]
@@ -51,7 +51,7 @@
     }
 
     fn history(&self) -> MutexGuard<'_, History> {
-        self.content.lock().unwrap_or_else(PoisonError::into_inner)
+        locked(&self.content)
     }
 
     /// Takes what was read of the table.
--- a/crates/lentilshunt-node/src/relay/call.rs
+++ b/crates/lentilshunt-node/src/relay/call.rs
@@ -5,14 +5,14 @@
     time::{Duration, Instant},
 };
 
-use hyper::{HeaderMap, Method};
+use hyper::{HeaderMap, Method, Request};
 use lentilshunt_core::{
     admission::Turn,
     id::{CallerId, RequestId},
     quarantine::Fingerprint,
 };
 
-use super::clock::Moment;
+use super::{body::Body, clock::Moment, header};
 
 /// A caller's request without its body.
 #[derive(Clone, Debug)]
@@ -53,6 +53,16 @@
         left.saturating_sub(self.arrived.frozen())
     }
 
+    /// Returns the request for its next hop, or none for a malformed path.
+    #[must_use]
+    pub fn request(&self, body: Body) -> Option<Request<Body>> {
+        let mut request = header::request(body);
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.path.parse().ok()?;
+        request.headers_mut().extend(self.headers.clone());
+        Some(request)
+    }
+
     /// Returns the order of the request among those that wait for a slot.
     ///
     /// A request that can no longer be answered with full worth is not waited
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -3,11 +3,11 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
-use hyper::{Request, StatusCode, Uri, header::HeaderValue};
+use hyper::{Request, StatusCode, Uri};
 use lentilshunt_core::{
     id::{InstanceId, ServiceId},
     membership::Endpoint,
@@ -23,10 +23,10 @@
     Call, Executor, Journal, Reply, Shared,
     body::{Body, Payload, empty, read},
     head::{read_reply, write_call},
-    header,
     inbound::PRESENCE,
     pool::Pool,
 };
+use crate::executor::locked;
 
 /// Time after which a node that answers nothing is asked whether it answers at all.
 const SILENCE: Duration = Duration::from_millis(350);
@@ -264,30 +264,26 @@
     }
 
     fn heard(&self, address: SocketAddr) -> Option<Instant> {
-        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        let heard = locked(&self.heard);
         heard.get(&address).copied()
     }
 
     fn hear(&self, address: SocketAddr) {
-        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut heard = locked(&self.heard);
         if heard.len() < MAX_HEARD || heard.contains_key(&address) {
             heard.insert(address, Instant::now());
         }
     }
 
     fn request(&self, call: &Call, body: Body) -> Option<Request<Body>> {
-        let mut request = header::request(body);
-        *request.method_mut() = call.method.clone();
-        *request.uri_mut() = call.path.parse().ok()?;
-        let headers = request.headers_mut();
-        headers.extend(call.headers.clone());
-        let (name, value): (_, HeaderValue) = write_call(call, self.shared.version())?;
-        headers.insert(name, value);
+        let mut request = call.request(body)?;
+        let (name, value) = write_call(call, self.shared.version())?;
+        request.headers_mut().insert(name, value);
         Some(request)
     }
 
     fn share(&self, service: &str) -> Arc<Share> {
-        let mut shares = self.shares.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut shares = locked(&self.shares);
         if let Some(share) = shares.get(service) {
             return Arc::clone(share);
         }
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -242,11 +242,8 @@
     }
 
     fn request(&self, call: &Call, upstream: &Upstream, body: Body) -> Option<Request<Body>> {
-        let mut request = header::request(body);
-        *request.method_mut() = call.method.clone();
-        *request.uri_mut() = call.path.parse().ok()?;
+        let mut request = call.request(body)?;
         let headers = request.headers_mut();
-        headers.extend(call.headers.clone());
         let dialect = &self.dialect;
         let remaining = call.remaining().as_millis().to_string();
         headers.insert(&dialect.deadline_ms, HeaderValue::try_from(remaining).ok()?);
--- a/crates/lentilshunt-node/src/relay/journal.rs
+++ b/crates/lentilshunt-node/src/relay/journal.rs
@@ -1,12 +1,14 @@
 //! How many decisions about requests are logged.
 
 use std::{
-    sync::{Mutex, PoisonError},
+    sync::Mutex,
     time::{Duration, Instant},
 };
 
 use slog::{Level, Logger, warn};
 
+use crate::executor::locked;
+
 /// Lines a second about requests that were answered at the first attempt.
 const PLAIN_LINES: u32 = 5;
 /// Lines a second about requests that were refused, tried again or failed.
@@ -50,7 +52,7 @@
 
     /// Returns whether a line of a level is written, and logs how many were not.
     pub fn admits(&self, level: Level, now: Instant, log: &Logger) -> bool {
-        let mut count = self.count.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut count = locked(&self.count);
         if now >= count.ends_at {
             if count.left_out > 0 {
                 warn!(log, "lines about requests left out"; "lines" => count.left_out);
--- a/crates/lentilshunt-node/src/relay/patience.rs
+++ b/crates/lentilshunt-node/src/relay/patience.rs
@@ -1,10 +1,8 @@
 //! How long callers have waited before they sent a request again.
 
-use std::{
-    collections::HashMap,
-    sync::{Mutex, PoisonError},
-    time::Duration,
-};
+use std::{collections::HashMap, sync::Mutex, time::Duration};
+
+use crate::executor::locked;
 
 /// Routes whose callers are remembered.
 const MAX_ROUTES: usize = 256;
@@ -21,7 +19,7 @@
 impl Patience {
     /// Returns how long a caller has waited that gives a request `named` time.
     pub fn age(&self, route: &str, named: Duration) -> Duration {
-        let mut routes = self.longest.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut routes = locked(&self.longest);
         if let Some(longest) = routes.get_mut(route) {
             *longest = named.max(*longest);
             return longest.saturating_sub(named);
--- a/crates/lentilshunt-node/src/relay/pool.rs
+++ b/crates/lentilshunt-node/src/relay/pool.rs
@@ -5,7 +5,7 @@
     io,
     net::SocketAddr,
     pin::Pin,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     task::{Context, Poll},
     time::{Duration, Instant},
 };
@@ -25,6 +25,7 @@
 use tokio::{net::TcpStream, time::timeout_at};
 
 use super::body::{Body, Error as BodyError};
+use crate::executor::locked;
 
 /// Header by which a server tells for how long it keeps an idle connection.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -218,14 +219,14 @@
     }
 
     fn lane(&self, address: SocketAddr) -> Arc<Lane> {
-        let mut lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut lanes = locked(&self.lanes);
         Arc::clone(lanes.entry(address).or_default())
     }
 }
 
 impl Lane {
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Idle>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Vec<Idle>> {
+        locked(&self.idle)
     }
 
     /// Takes the idle connection that was used last, and drops those that have expired.
--- a/crates/lentilshunt-node/tests/fleet/domain.rs
+++ b/crates/lentilshunt-node/tests/fleet/domain.rs
@@ -42,7 +42,7 @@
         let old = Bytes::from(base.clone());
         base.splice(at..at, added);
         let new = Bytes::from(base);
-        let patch = Patch::between(Some(&old), &new);
+        let patch = Patch::between(&old, &new);
         prop_assert_eq!(patch.apply(Some(&old)), Some(new.clone()));
         if let Patch::Delta { delta, .. } = &patch {
             prop_assert!(delta.len() < 1000);
