fix(adapter): apply a configuration with routes of unknown form

Change: each route is decoded on its own. A route that cannot be applied is omitted, logged and counted; its requests get 503, not 404 and not the handling of a shorter prefix.

--- a/crates/lentilshunt-core/src/retry/decision.rs
+++ b/crates/lentilshunt-core/src/retry/decision.rs
@@ -60,6 +60,7 @@
         Reason::NoConfiguration
         | Reason::BadRequest
         | Reason::UnknownService
+        | Reason::RouteOmitted
         | Reason::CallerNotAllowed
         | Reason::NoEndpoint
         | Reason::Duplicate
--- a/crates/lentilshunt-core/src/verdict/reason.rs
+++ b/crates/lentilshunt-core/src/verdict/reason.rs
@@ -17,6 +17,10 @@
     /// The service is not in the configuration.
     #[display("unknown-service")]
     UnknownService,
+    /// The request may belong to a route that the configuration contains but this node cannot
+    /// apply.
+    #[display("route-omitted")]
+    RouteOmitted,
     /// The rules do not allow this caller to call the service.
     #[display("caller-not-allowed")]
     CallerNotAllowed,
@@ -72,10 +76,11 @@
 
 impl Reason {
     /// All reasons, in declaration order.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::NoConfiguration,
         Self::BadRequest,
         Self::UnknownService,
+        Self::RouteOmitted,
         Self::CallerNotAllowed,
         Self::NoEndpoint,
         Self::NoRoom,
--- a/crates/lentilshunt-node/src/fleet/installer.rs
+++ b/crates/lentilshunt-node/src/fleet/installer.rs
@@ -3,11 +3,15 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use bytes::Bytes;
+use lentilshunt_core::traffic::Rules;
 use slog::{info, warn};
 
 use super::{Change, Codec, NodeState, ValueHistory, watch::TableUpdate};
 use crate::{executor::lock, relay::Shared};
 
+/// Maximum number of omitted routes of a version that are logged one by one.
+const MAX_LOGGED_OMISSIONS: usize = 8;
+
 /// Decodes versions of the traffic rules and puts newer ones in force.
 #[derive(Debug)]
 pub struct Installer {
@@ -85,10 +89,23 @@
         if version <= current {
             return;
         }
+        self.record_omissions(&rules);
         self.lock_history().push(bytes);
         self.shared.rules.store(Arc::new(rules));
         self.shared.observe_version(version, None);
         metrics::counter!("lentilshunt_versions_installed_total").increment(1);
         info!(log, "version in force"; "version" => version, "before" => current);
     }
+
+    /// Counts and logs the routes of a version that are not in force.
+    fn record_omissions(&self, rules: &Rules) {
+        let omissions = rules.omissions();
+        let count = omissions.len();
+        metrics::counter!("lentilshunt_routes_omitted_total").increment(count as u64);
+        for omission in omissions.iter().take(MAX_LOGGED_OMISSIONS) {
+            warn!(self.shared.log, "route omitted"; "version" => rules.version(),
+                "host" => &omission.host, "prefix" => &omission.prefix,
+                "error" => &omission.problem, "omitted" => count);
+        }
+    }
 }
--- a/crates/lentilshunt-node/src/relay/outbound.rs
+++ b/crates/lentilshunt-node/src/relay/outbound.rs
@@ -123,9 +123,14 @@
         let (parts, body) = request.into_parts();
         let host = header_text(&parts.headers, HOST.as_str());
         let host = parts.uri.host().unwrap_or(&host);
-        let route = rules
-            .find(host, parts.uri.path())
-            .ok_or(Reason::UnknownService)?;
+        let path = parts.uri.path();
+        let route = rules.find(host, path).ok_or_else(|| {
+            if rules.may_match_omission(host, path) {
+                Reason::RouteOmitted
+            } else {
+                Reason::UnknownService
+            }
+        })?;
         let length = parts.headers.get(CONTENT_LENGTH);
         let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
         if length.unwrap_or(body.size_hint().lower()) > rules.limits().max_body_bytes {
