feat(fleet): call the store less at starts and in outages, and find a running upstream

Each start read both tables and polled them several times. A node that restarted beside a running upstream refused all calls until its next report, up to 1.5 s. Callers of a failure domain most of whose nodes stop were refused connections for seconds. Change: core::dissemination::Readers decides where changes come from: three nodes of a domain read the store, the others poll it only when these have no recent data, and more and more rarely while it fails. When no node is registered, the table settles before it is polled. A reader's long poll lasts longer where versions may take 3 s. A starting node that the store lists as ready asks its upstream for its health and serves. A stopping node accepts requests as long as callers send them, up to 2.3 s before its grace period ends.

--- a/crates/lentilshunt-core/src/dissemination/mod.rs
+++ b/crates/lentilshunt-core/src/dissemination/mod.rs
@@ -12,6 +12,7 @@
 mod jitter;
 mod link_class;
 mod poller;
+mod readers;
 mod strategy;
 
 pub use action::{Action, PlatformRequest};
@@ -20,4 +21,5 @@
 pub use hybrid::{Hybrid, RENDEZVOUS_PREFIX, Variant};
 pub use link_class::{LinkClass, REQUEST_OVERHEAD_BYTES, RESPONSE_OVERHEAD_BYTES};
 pub use poller::{MEMBER_PREFIX, Poller};
+pub use readers::{Readers, Source};
 pub use strategy::Strategy;
--- a/crates/lentilshunt-core/src/traffic/rules.rs
+++ b/crates/lentilshunt-core/src/traffic/rules.rs
@@ -1,7 +1,7 @@
 //! Version of the traffic rules.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
 };
 
@@ -19,6 +19,7 @@
     version: VersionId,
     limits: Limits,
     services: BTreeSet<ServiceId>,
+    health_paths: BTreeMap<ServiceId, String>,
     hosts: HashMap<String, HostRoutes>,
     /// Whether the host of some omitted route cannot be read.
     has_unreadable_host: bool,
@@ -46,6 +47,19 @@
         }
     }
 
+    /// Sets the path of the health check of a service.
+    #[must_use]
+    pub fn with_health_path(mut self, service: &str, path: String) -> Self {
+        self.health_paths.insert(service.to_owned(), path);
+        self
+    }
+
+    /// Returns the path of the health check of a service, if it has one.
+    #[must_use]
+    pub fn health_path(&self, service: &str) -> Option<&str> {
+        self.health_paths.get(service).map(String::as_str)
+    }
+
     /// Adds the route for a host and a path prefix.
     ///
     /// # Errors
--- a/crates/lentilshunt-node/src/fleet/domain/cache.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/cache.rs
@@ -89,6 +89,12 @@
             .send_modify(|update_count| *update_count += 1);
     }
 
+    /// Returns whether a table has been read.
+    #[must_use]
+    pub fn contains(&self, table: &str) -> bool {
+        self.lock().contains_key(table)
+    }
+
     /// Returns the last known value of a row, also of a removed one, as base for patches.
     #[must_use]
     pub fn value(&self, table: &str, key: &str) -> Option<Bytes> {
--- a/crates/lentilshunt-node/src/fleet/domain/domain_store.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/domain_store.rs
@@ -1,7 +1,7 @@
 //! Access to the store through the reader of the failure domain.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::BTreeSet,
     error,
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -10,9 +10,10 @@
 
 use bytes::Bytes;
 use hyper::Request;
+use lentilshunt_core::dissemination::{Readers, Source};
 use lentilshunt_net::BoxFuture;
 use slog::info;
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until};
 
 use super::{
     Cache, FeedResponse, Throttle,
@@ -20,14 +21,18 @@
 };
 use crate::{
     executor::lock,
-    fleet::{Change, Changes, Error, NodeState, TableSnapshot, TableStore},
+    fleet::{Change, Changes, Error, NodeState, Row, TableSnapshot, TableStore},
     relay::{Pool, Shared, body::empty},
 };
 
 /// Maximum time for the response of a reader, besides the time for which it waits for changes.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time for which no requests are sent to a reader after one failed.
-const READER_COOLDOWN: Duration = Duration::from_secs(3);
+/// Time limit for the response of a reader to the first request for a table.
+///
+/// A node that starts reads the store if its reader starts at the same time.
+const FIRST_RESPONSE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Age of data beyond the limit of one long poll that is still accepted.
+const MAX_POLL_DELAY: Duration = Duration::from_millis(500);
 /// Pause before changes that the store no longer keeps are requested from the readers.
 const CATCH_UP_PAUSE: Duration = Duration::from_millis(300);
 /// Maximum number of readers from which changes that the store no longer keeps are requested.
@@ -45,10 +50,32 @@
     cache: Arc<Cache>,
     /// Maximum age of accepted data of a reader.
     max_age: Duration,
-    cooldowns: Mutex<HashMap<SocketAddr, Instant>>,
+    readers: Mutex<Readers>,
     throttle: Throttle,
 }
 
+/// Changes that a reader has delivered.
+#[derive(Clone, Debug)]
+struct ReaderResponse {
+    changes: Changes,
+    /// Whether the table has no other rows than the changed ones.
+    is_full: bool,
+}
+
+impl ReaderResponse {
+    fn into_snapshot(self) -> TableSnapshot {
+        let Changes { changes, revision } = self.changes;
+        let rows = changes.into_iter().filter_map(|change| {
+            let key = change.key;
+            change.value.map(|value| Row { key, value })
+        });
+        TableSnapshot {
+            rows: rows.collect(),
+            revision,
+        }
+    }
+}
+
 impl DomainStore {
     /// Creates a store that accepts data of a reader only while it is recent enough
     /// for changes to be applied within `max_apply_time`.
@@ -66,7 +93,7 @@
             pool,
             cache,
             max_age: max_apply_time.saturating_sub(APPLY_MARGIN),
-            cooldowns: Mutex::default(),
+            readers: Mutex::default(),
             throttle: Throttle::default(),
         }
     }
@@ -83,9 +110,32 @@
         self
     }
 
+    /// Sets the pause before the first poll of a table that was read without any row.
+    #[must_use]
+    pub fn with_settle_pause(mut self, table: &str, pause: Duration) -> Self {
+        self.throttle.set_settle_pause(table, pause);
+        self
+    }
+
+    /// Reads a table, the first time through a reader if there is one.
+    ///
+    /// A table is read again if what the reader delivers is not sufficient.
     async fn read_table(&self, table: &str) -> Result<TableSnapshot, Error> {
+        if !self.cache.contains(table)
+            && let Source::Reader(reader) = self.source(table)
+        {
+            let timeout = FIRST_RESPONSE_TIMEOUT;
+            if let Some(response) = self.request_changes(reader, table, 0, timeout).await
+                && response.is_full
+            {
+                return Ok(response.into_snapshot());
+            }
+        }
         let snapshot = self.store.read(table).await?;
         self.cache.replace(table, &snapshot, Duration::ZERO);
+        if snapshot.rows.is_empty() {
+            self.throttle.start_settle_pause(table);
+        }
         Ok(snapshot)
     }
 
@@ -95,26 +145,39 @@
         after: u64,
         timeout: Duration,
     ) -> Result<Changes, Error> {
-        let directory = self.shared.directory.load();
-        let reader = self.reader(directory.reader_candidates());
-        let has_candidates = !directory.reader_candidates().is_empty();
-        drop(directory);
-        if let Some(reader) = reader {
-            match self.request_changes(reader, table, after).await {
-                Some(changes) => return Ok(changes),
-                None => self.start_cooldown(reader),
+        loop {
+            match self.source(table) {
+                Source::Store => break,
+                Source::Wait(until) => sleep_until(until.into()).await,
+                Source::Reader(reader) => {
+                    let timeout = FEED_POLL_TIMEOUT + RESPONSE_TIMEOUT;
+                    match self.request_changes(reader, table, after, timeout).await {
+                        Some(response) => return Ok(response.changes),
+                        None => self.record_lost_reader(reader),
+                    }
+                    if lock(&self.readers).may_poll_store(table, Instant::now()) {
+                        break;
+                    }
+                }
             }
         }
+        let has_candidates = !self.shared.directory.load().reader_candidates().is_empty();
         let limit = self.throttle.poll_timeout(table).filter(|_| has_candidates);
-        let timeout = limit.map_or(timeout, |limit| timeout.min(limit));
-        self.throttle.wait_for_pause(table).await;
+        let paused = self.throttle.wait_for_pause(table).await;
+        // The pause counts, as other nodes receive no newer data during it.
+        let timeout = limit.map_or(timeout, |limit| timeout.min(limit.saturating_sub(paused)));
         match self.store.wait_for_changes(table, after, timeout).await {
             Err(Error::Compacted { revision }) if has_candidates => {
                 let changes = self.catch_up(table, after).await;
                 changes.ok_or(Error::Compacted { revision })
             }
-            polled => {
-                let changes = polled?;
+            Err(error) => {
+                let random = rand::random();
+                lock(&self.readers).record_failed_poll(table, random, Instant::now());
+                Err(error)
+            }
+            Ok(changes) => {
+                lock(&self.readers).record_poll(table);
                 self.cache.apply(table, &changes, Duration::ZERO);
                 if !changes.changes.is_empty() {
                     self.throttle.start_pause(table);
@@ -140,33 +203,26 @@
             if instance == local {
                 return None;
             }
-            let changes = self.request_changes(*address, table, after).await;
-            if changes.is_some() {
-                return changes;
+            let timeout = FEED_POLL_TIMEOUT + RESPONSE_TIMEOUT;
+            let response = self.request_changes(*address, table, after, timeout).await;
+            if let Some(response) = response {
+                return Some(response.changes);
             }
         }
         None
     }
 
-    /// Returns the reader to request changes from, or none if this node polls the store.
-    fn reader(&self, candidates: &[(String, SocketAddr)]) -> Option<SocketAddr> {
-        let now = Instant::now();
-        let cooldowns = lock(&self.cooldowns);
-        let is_cooling_down =
-            |address: &SocketAddr| cooldowns.get(address).is_some_and(|until| *until > now);
-        let mut available = candidates
-            .iter()
-            .filter(|(_, address)| !is_cooling_down(address));
-        let (instance, address) = available.next()?;
-        (*instance != self.shared.locality.instance).then_some(*address)
+    /// Returns where the next changes of a table come from.
+    fn source(&self, table: &str) -> Source {
+        let directory = self.shared.directory.load();
+        let candidates = directory.reader_candidates();
+        let local = &self.shared.locality.instance;
+        lock(&self.readers).source(candidates, local, table, Instant::now())
     }
 
-    fn start_cooldown(&self, reader: SocketAddr) {
+    fn record_lost_reader(&self, reader: SocketAddr) {
         metrics::counter!("lentilshunt_reader_lost_total").increment(1);
-        let mut cooldowns = lock(&self.cooldowns);
-        let now = Instant::now();
-        cooldowns.retain(|_, until| *until > now);
-        cooldowns.insert(reader, now + READER_COOLDOWN);
+        lock(&self.readers).record_lost_reader(reader, Instant::now());
     }
 
     /// Requests changes from a reader; returns none and logs the problem if that fails.
@@ -175,9 +231,10 @@
         reader: SocketAddr,
         table: &str,
         after: u64,
-    ) -> Option<Changes> {
-        let changes = self.fetch_changes(reader, table, after).await;
-        changes
+        timeout: Duration,
+    ) -> Option<ReaderResponse> {
+        let response = self.fetch_changes(reader, table, after, timeout).await;
+        response
             .map_err(|problem| {
                 info!(self.shared.log, "changes of the reader not usable";
                 "node" => %reader, "table" => table, "problem" => %problem);
@@ -191,11 +248,12 @@
         reader: SocketAddr,
         table: &str,
         after: u64,
-    ) -> Result<Changes, Box<dyn error::Error + Send + Sync>> {
+        timeout: Duration,
+    ) -> Result<ReaderResponse, Box<dyn error::Error + Send + Sync>> {
         let mut request = Request::new(empty());
         let cached_hashes = format_hashes(&self.cache.hashes(table));
         *request.uri_mut() = format!("{FEED_PATH}{table}/{after}/{cached_hashes}").parse()?;
-        let response_deadline = Instant::now() + FEED_POLL_TIMEOUT + RESPONSE_TIMEOUT;
+        let response_deadline = Instant::now() + timeout;
         let max_body_bytes = NodeState::MAX_BYTES;
         let bytes = self
             .pool
@@ -205,13 +263,20 @@
         let age = Duration::from_millis(response.age_ms);
         // The data of a table that is polled less often is older without a fault.
         let poll_timeout = self.throttle.poll_timeout(table).unwrap_or_default();
-        if age > self.max_age.max(poll_timeout * 2) {
+        if age > self.max_age.max(poll_timeout + MAX_POLL_DELAY) {
             return Err(format!("the data is {} ms old", response.age_ms).into());
         }
+        let is_full = response.is_full;
         let changes = self.decode_changes(table, after, response);
         let changes = changes.ok_or("a patch is damaged or its base value is not cached")?;
-        self.cache.apply(table, &changes, age);
-        Ok(changes)
+        let response = ReaderResponse { changes, is_full };
+        if response.is_full && !self.cache.contains(table) {
+            self.cache
+                .replace(table, &response.clone().into_snapshot(), age);
+        } else {
+            self.cache.apply(table, &response.changes, age);
+        }
+        Ok(response)
     }
 
     /// Returns the changes in a response, or none if a patch cannot be applied.
--- a/crates/lentilshunt-node/src/fleet/domain/throttle.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/throttle.rs
@@ -22,6 +22,8 @@
 struct PollingLimits {
     pause: Duration,
     poll_timeout: Duration,
+    /// Pause after a read that returned no row.
+    settle_pause: Duration,
 }
 
 impl Throttle {
@@ -36,22 +38,43 @@
             PollingLimits {
                 pause,
                 poll_timeout,
+                settle_pause: Duration::ZERO,
             },
         );
     }
 
+    /// Sets the pause after a read that returned no row, for a table that has limits.
+    ///
+    /// When all nodes start for the first time, each writes a row, and one poll after the pause
+    /// returns them all.
+    pub fn set_settle_pause(&mut self, table: &str, settle_pause: Duration) {
+        if let Some(limits) = self.limits.get_mut(table) {
+            limits.settle_pause = settle_pause;
+        }
+    }
+
     /// Returns the limit of one long poll while other nodes read through this one, if it is set.
     #[must_use]
     pub fn poll_timeout(&self, table: &str) -> Option<Duration> {
         self.limits.get(table).map(|limits| limits.poll_timeout)
     }
 
-    /// Waits until the pause of a table has ended.
-    pub async fn wait_for_pause(&self, table: &str) {
+    /// Waits until the pause of a table has ended, and returns how long that took.
+    pub async fn wait_for_pause(&self, table: &str) -> Duration {
+        let started_at = Instant::now();
         let paused_until = lock(&self.paused_until).get(table).copied();
         if let Some(paused_until) = paused_until {
             sleep_until(paused_until.into()).await;
         }
+        started_at.elapsed()
+    }
+
+    /// Starts the pause after a read that returned no row.
+    pub fn start_settle_pause(&self, table: &str) {
+        if let Some(PollingLimits { settle_pause, .. }) = self.limits.get(table) {
+            let paused_until = Instant::now() + *settle_pause;
+            lock(&self.paused_until).insert(table.to_owned(), paused_until);
+        }
     }
 
     /// Starts the pause in the polling of a table.
--- a/crates/lentilshunt-node/src/fleet/lifecycle.rs
+++ b/crates/lentilshunt-node/src/fleet/lifecycle.rs
@@ -21,13 +21,14 @@
 use tokio::{
     sync::watch,
     task::JoinHandle,
-    time::{sleep, timeout_at},
+    time::{sleep, sleep_until, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    Cache, Codec, DomainStore, Feeds, Installer, NodeRegistry, NodeSettings, Publisher, Readiness,
-    Reports, StateFetcher, TableStore,
+    Cache, Codec, DomainStore, Feeds, Installer, Listing, NodeRegistry, NodeSettings, Publisher,
+    Readiness, Reports, StateFetcher, TableStore,
+    adoption::adopt_upstream,
     metrics::Metrics,
     watch::{Subscription, watch_table},
 };
@@ -48,10 +49,27 @@
 const RULES_POLL_TIMEOUT: Duration = Duration::from_secs(8);
 /// Pause in polling after changed records, so that the next poll returns several at once.
 const RECORDS_BATCH_PAUSE: Duration = Duration::from_millis(700);
-/// Timeout of one long poll for a rules version, by a node that reads the store for others.
+/// Minimum timeout of one long poll for a rules version, by a node that reads the store for
+/// others.
 ///
-/// It bounds the age of the rules that the other nodes receive.
-const READER_RULES_POLL_TIMEOUT: Duration = Duration::from_millis(800);
+/// The timeout bounds the age of the rules that the other nodes receive.
+const MIN_READER_RULES_POLL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Part of the maximum apply time that is left after such a poll.
+const READER_RULES_POLL_MARGIN: Duration = Duration::from_millis(1500);
+/// Pause before the table of nodes is polled if no node was registered at the start.
+///
+/// All nodes then start for the first time, and each writes its row after the first report of its
+/// upstream.
+const SETTLE_PAUSE: Duration = Duration::from_millis(2200);
+/// Maximum time for which the rules are not read while the table of nodes cannot be read.
+const MAX_LISTING_WAIT: Duration = Duration::from_secs(10);
+/// Maximum time for which the rules are not read while no reader of the domain is known, when all
+/// nodes start for the first time.
+const MAX_READER_WAIT: Duration = Duration::from_millis(2600);
+/// Time without a new request of callers after which a stopping node closes its listeners.
+const SHUTDOWN_IDLE_TIME: Duration = Duration::from_millis(600);
+/// Time before the end of the grace period at which a stopping node accepts no more requests.
+const LAST_REQUEST_MARGIN: Duration = Duration::from_millis(2300);
 /// Timeout of one long poll for changed records, by a node that reads the store for others.
 ///
 /// Other nodes detect that it lost the store by the age of the rules that it sends.
@@ -103,7 +121,8 @@
         feeds,
         refuse_calls: refuse_calls.clone(),
     };
-    let (handlers, records) = build_handlers(&settings, &shared, &codec, peer_services, &pool);
+    let (handlers, executor, records) =
+        build_handlers(&settings, &shared, &codec, peer_services, &pool);
     let request_shutdown = Shutdown {
         draining: stop.clone(),
         closed: CancellationToken::new(),
@@ -129,6 +148,7 @@
         Arc::clone(&pool),
     );
     tasks.push(tokio::spawn(state_fetcher.run()));
+    tasks.push(tokio::spawn(adopt_upstream(Arc::clone(&shared), executor)));
     let domain_store = DomainStore::new(
         store,
         Arc::clone(&shared),
@@ -139,13 +159,17 @@
     .with_throttle(
         &settings.rules_row.0,
         RULES_BATCH_PAUSE,
-        READER_RULES_POLL_TIMEOUT,
+        settings
+            .max_apply_time
+            .saturating_sub(READER_RULES_POLL_MARGIN)
+            .max(MIN_READER_RULES_POLL_TIMEOUT),
     )
     .with_throttle(
         &settings.nodes_table,
         RECORDS_BATCH_PAUSE,
         READER_RECORDS_POLL_TIMEOUT,
-    );
+    )
+    .with_settle_pause(&settings.nodes_table, SETTLE_PAUSE);
     tasks.extend(start_store_tasks(
         &settings,
         &shared,
@@ -162,6 +186,8 @@
     sleep(PEER_SERVICE_TIME).await;
     refuse_calls.cancel();
     sleep(SHUTDOWN_NOTICE.saturating_sub(PEER_SERVICE_TIME)).await;
+    let last_request_at = drain_deadline.checked_sub(LAST_REQUEST_MARGIN);
+    callers.wait_until_idle(last_request_at).await;
     request_shutdown.closed.cancel();
     let drained = async {
         drop(callers.task.await);
@@ -198,7 +224,7 @@
     codec: &Arc<dyn Codec>,
     peer_services: PeerServices,
     pool: &Arc<Pool>,
-) -> (Handlers, watch::Receiver<Option<Record>>) {
+) -> (Handlers, Arc<Executor>, watch::Receiver<Option<Record>>) {
     let suspects = Arc::new(Suspects::new(Instant::now()));
     let executor = Arc::new(Executor::new(
         shared,
@@ -232,13 +258,19 @@
         incarnation,
     );
     let codec = Arc::clone(codec);
-    let reports = Reports::new(Arc::clone(shared), executor, codec, local_record, records);
+    let reports = Reports::new(
+        Arc::clone(shared),
+        Arc::clone(&executor),
+        codec,
+        local_record,
+        records,
+    );
     let handlers = Handlers {
         outbound: Arc::new(outbound),
         inbound: Arc::new(inbound),
         reports: Arc::new(reports),
     };
-    (handlers, published)
+    (handlers, executor, published)
 }
 
 /// Starts the tasks that watch the tables of the store and publish the local record.
@@ -253,18 +285,22 @@
     let log = shared.log.clone();
     let publisher = Publisher::new(Arc::clone(&store), nodes.clone(), settings.link_mbps, log);
     let rules_table = settings.rules_row.0.clone();
+    let registry = NodeRegistry::new(Arc::clone(shared));
+    let listing = registry.listing();
     [
         tokio::spawn(publisher.run(records)),
         tokio::spawn(watch_records(
-            Arc::clone(shared),
+            registry,
             Arc::clone(&store),
             nodes.clone(),
+            shared.log.clone(),
         )),
         tokio::spawn(watch_rules(
             Arc::clone(shared),
             store,
             installer,
             rules_table,
+            listing,
         )),
     ]
 }
@@ -274,12 +310,31 @@
     task: JoinHandle<()>,
     /// Number of requests in flight.
     in_flight: Arc<AtomicUsize>,
+    /// Number of requests received so far.
+    received: Arc<AtomicUsize>,
 }
 
 impl RunningServer {
     fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
     }
+
+    /// Waits until no request has arrived for [`SHUTDOWN_IDLE_TIME`], or until the deadline.
+    ///
+    /// Callers keep sending to a stopping node if most nodes of its failure domain stop.
+    async fn wait_until_idle(&self, deadline: Option<Instant>) {
+        loop {
+            let received = self.received.load(Ordering::Relaxed);
+            let idle_at = Instant::now() + SHUTDOWN_IDLE_TIME;
+            if deadline.is_none_or(|deadline| idle_at > deadline) {
+                return;
+            }
+            sleep_until(idle_at.into()).await;
+            if self.received.load(Ordering::Relaxed) == received {
+                return;
+            }
+        }
+    }
 }
 
 async fn serve(
@@ -295,8 +350,13 @@
     };
     let server = Server::bind(address, handler, limits).await?;
     let in_flight = server.in_flight();
+    let received = server.received();
     let task = tokio::spawn(server.run(shutdown.clone()));
-    Ok(RunningServer { task, in_flight })
+    Ok(RunningServer {
+        task,
+        in_flight,
+        received,
+    })
 }
 
 fn build_shared(settings: &NodeSettings, log: Logger, stop: CancellationToken) -> Shared {
@@ -328,7 +388,9 @@
     store: Arc<dyn TableStore>,
     installer: Arc<Installer>,
     table: String,
+    listing: watch::Receiver<Listing>,
 ) {
+    wait_for_reader(listing).await;
     let subscription = Subscription {
         table: &table,
         poll_timeout: RULES_POLL_TIMEOUT,
@@ -345,13 +407,35 @@
     .await;
 }
 
-async fn watch_records(shared: Arc<Shared>, store: Arc<dyn TableStore>, table: String) {
-    let mut registry = NodeRegistry::new(Arc::clone(&shared));
+/// Waits until it is known whether there is a reader, from which the rules are then read.
+///
+/// While no node is registered, all nodes start for the first time.
+async fn wait_for_reader(mut listing: watch::Receiver<Listing>) {
+    let listing_deadline = Instant::now() + MAX_LISTING_WAIT;
+    let has_read = listing.wait_for(|listing| *listing != Listing::Unread);
+    let is_first_start = timeout_at(listing_deadline.into(), has_read)
+        .await
+        .is_ok_and(|read| read.is_ok_and(|listing| *listing == Listing::Empty));
+    if !is_first_start {
+        return;
+    }
+    let deadline = Instant::now() + MAX_READER_WAIT;
+    let has_reader = listing.wait_for(|listing| *listing == Listing::WithReader);
+    // Without a reader by the deadline, the rules are read from the store.
+    drop(timeout_at(deadline.into(), has_reader).await);
+}
+
+async fn watch_records(
+    mut registry: NodeRegistry,
+    store: Arc<dyn TableStore>,
+    table: String,
+    log: Logger,
+) {
     let subscription = Subscription {
         table: &table,
         poll_timeout: RECORDS_POLL_TIMEOUT,
     };
-    watch_table(&*store, subscription, None, &shared.log, |update| {
+    watch_table(&*store, subscription, None, &log, |update| {
         registry.apply_update(update);
     })
     .await;
--- a/crates/lentilshunt-node/src/fleet/node_registry.rs
+++ b/crates/lentilshunt-node/src/fleet/node_registry.rs
@@ -7,6 +7,7 @@
     membership::{View, rendezvous_weight},
 };
 use slog::{info, warn};
+use tokio::sync::watch;
 
 use super::{Change, Registration, watch::TableUpdate};
 use crate::relay::{Directory, Shared};
@@ -19,10 +20,25 @@
 /// Rendezvous key of the reader, which decides between links of equal bandwidth.
 const READER_ROLE: &str = "reader";
 
+/// What is known of the registered nodes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Listing {
+    /// The table of nodes has not been read.
+    #[default]
+    Unread,
+    /// No node is registered, as when all nodes start for the first time.
+    Empty,
+    /// Each node reads the store itself.
+    WithoutReader,
+    /// One node reads the store for the local failure domain.
+    WithReader,
+}
+
 /// Registrations of all nodes, from which the directory of endpoints is built.
 #[derive(Debug)]
 pub struct NodeRegistry {
     shared: Arc<Shared>,
+    listing: watch::Sender<Listing>,
     registrations: BTreeMap<InstanceId, Registration>,
 }
 
@@ -32,10 +48,17 @@
     pub fn new(shared: Arc<Shared>) -> Self {
         Self {
             shared,
+            listing: watch::Sender::default(),
             registrations: BTreeMap::new(),
         }
     }
 
+    /// Returns a receiver of what is known of the registered nodes.
+    #[must_use]
+    pub fn listing(&self) -> watch::Receiver<Listing> {
+        self.listing.subscribe()
+    }
+
     /// Applies an update of the table and publishes the endpoints.
     pub fn apply_update(&mut self, update: TableUpdate) {
         let changes = match update {
@@ -54,8 +77,15 @@
             .map(|registration| &registration.record);
         let view = View::new(records);
         let directory = Directory::new(&view.endpoints, &self.shared.locality);
-        let directory = directory.with_reader_candidates(self.reader_candidates());
+        let candidates = self.reader_candidates();
+        let listing = match (self.registrations.is_empty(), candidates.is_empty()) {
+            (true, _) => Listing::Empty,
+            (false, true) => Listing::WithoutReader,
+            (false, false) => Listing::WithReader,
+        };
+        let directory = directory.with_reader_candidates(candidates);
         self.shared.directory.store(Arc::new(directory));
+        self.listing.send_replace(listing);
     }
 
     /// Returns the nodes of the local failure domain in the order in which they are
--- a/crates/lentilshunt-node/src/fleet/watch.rs
+++ b/crates/lentilshunt-node/src/fleet/watch.rs
@@ -17,7 +17,7 @@
 /// Initial pause after a failed request to the store.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// Maximum pause after a failed request to the store.
-const MAX_BACKOFF: Duration = Duration::from_millis(800);
+const MAX_BACKOFF: Duration = Duration::from_millis(1500);
 
 /// Table that [`watch_table`] watches, with its polling settings.
 #[derive(Clone, Copy, Debug)]
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -10,31 +10,39 @@
 };
 
 use arc_swap::ArcSwapOption;
-use hyper::{Request, Response, StatusCode, header::HeaderValue};
+use hyper::{
+    Request, Response, StatusCode,
+    header::{HOST, HeaderValue},
+};
 use lentilshunt_core::{
-    id::InstanceId,
+    id::{InstanceId, ServiceId},
     quarantine::{QuarantineStatus, Suspects},
     verdict::{Reason, Verdict},
 };
 use lentilshunt_schema::peer::Phase;
 use slog::{Level, Logger, info, warn};
+use tokio::time::timeout_at;
 
 use super::{
     Call, HeaderNames, LogLimiter, Notifier, Reply, Shared,
-    body::Body,
+    body::{Body, empty},
+    gate::Gate,
     guarded, header,
+    node_headers::header_text,
     pool::Pool,
     upstream::{self, Change, Report, Upstream},
 };
-use crate::executor::{Gate, lock};
+use crate::executor::lock;
 
 /// Maximum number of requests that wait for a slot of the upstream.
-const QUEUE_CAPACITY: u32 = 64;
+const QUEUE_CAPACITY: usize = 64;
 /// Time limit for connecting to the upstream, which runs on the same instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum time for which an idle connection is kept; a shorter keep-alive timeout of the upstream
 /// takes precedence.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time limit for the health check of the upstream.
+const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of reports that may be missing before calls are refused.
 const MAX_MISSING_REPORTS: u32 = 4;
 
@@ -53,6 +61,8 @@
     pool: Pool,
     suspects: Arc<Suspects>,
     instance: InstanceId,
+    /// Service of the upstream.
+    service: ServiceId,
     notifier: Notifier,
     /// Whether calls are refused because reports of the upstream are missing.
     is_silent: AtomicBool,
@@ -83,6 +93,7 @@
             pool: Pool::new(CONNECT_TIMEOUT, IDLE_TIMEOUT),
             suspects,
             instance: shared.locality.instance.clone(),
+            service: shared.service.clone(),
             notifier: Notifier::new(Arc::clone(shared), peer_pool),
             is_silent: AtomicBool::new(false),
             log_limiter: LogLimiter::new(),
@@ -114,6 +125,47 @@
         change
     }
 
+    /// Returns whether the upstream has reported itself or was found by a health check.
+    #[must_use]
+    pub fn has_upstream(&self) -> bool {
+        self.upstream.load().is_some()
+    }
+
+    /// Accepts an upstream that has not reported itself yet.
+    pub fn adopt(&self, report: &Report, now: Instant) {
+        if !self.has_upstream() {
+            self.apply_report(report, now);
+        }
+    }
+
+    /// Returns what the upstream says of itself in a successful health check.
+    ///
+    /// The start of the process is unknown, so any report of its own is newer.
+    pub async fn probe_upstream(&self, path: &str) -> Option<Report> {
+        let mut request = Request::new(empty());
+        *request.uri_mut() = path.parse().ok()?;
+        let host = HeaderValue::try_from(self.upstream_address.to_string()).ok()?;
+        request.headers_mut().insert(HOST, host);
+        let deadline = Instant::now() + HEALTH_CHECK_TIMEOUT;
+        let sent = self.pool.send(self.upstream_address, request);
+        let response = timeout_at(deadline.into(), sent).await.ok()?.ok()?;
+        if response.status() != StatusCode::OK {
+            return None;
+        }
+        let headers = response.headers();
+        let load = header_text(headers, self.header_names.load.as_str());
+        let slots = load.rsplit(',').next()?.trim().parse().ok()?;
+        Some(Report {
+            process: header_text(headers, self.header_names.process.as_str()),
+            started_ms: 0,
+            sequence: 0,
+            service: self.service.clone(),
+            phase: Phase::Ready,
+            slots,
+        })
+        .filter(|report| !report.process.is_empty() && report.slots > 0)
+    }
+
     /// Returns the upstream, unless its reports are missing.
     ///
     /// Logs when the reports begin to be missing and when they resume.
@@ -185,7 +237,7 @@
         if let Err(reason) = self.check_ready(call) {
             return Reply::refused(reason);
         }
-        let slot = match self.gate.check_and_acquire(call.precedence()).await {
+        let slot = match self.gate.acquire(call.applicant()).await {
             Ok(slot) => slot,
             Err(reason) => return Reply::refused(reason),
         };
@@ -200,7 +252,6 @@
         if call.remaining().is_zero() {
             return Reply::refused(Reason::Deadline);
         }
-        let started_at = Instant::now();
         let response = match self.pool.send(self.upstream_address, request).await {
             Ok(response) => response,
             Err(failure) if failure.verdict() == Verdict::NotRun => {
@@ -211,7 +262,7 @@
         let reply = self.classify(call, response);
         if reply.verdict == Verdict::Ran {
             self.suspects.clear(call.fingerprint, Instant::now());
-            self.gate.record_run_time(started_at);
+            slot.record_response(call.kind());
         }
         Reply {
             response: reply
--- a/crates/lentilshunt-node/src/relay/header_names.rs
+++ b/crates/lentilshunt-node/src/relay/header_names.rs
@@ -14,6 +14,11 @@
     /// Id of the upstream process that the request is meant for; another process responds with
     /// status 421.
     pub expected_process: HeaderName,
+    /// Id of the upstream process in the response to its health check.
+    pub process: HeaderName,
+    /// Load of the upstream in a response: running requests, waiting requests and slots,
+    /// separated by commas.
+    pub load: HeaderName,
     /// Present in a response when the upstream has not run the request.
     pub not_run: HeaderName,
 }
--- a/crates/lentilshunt-node/src/relay/server.rs
+++ b/crates/lentilshunt-node/src/relay/server.rs
@@ -57,6 +57,7 @@
     handler: Arc<dyn Handler>,
     limits: HeaderLimits,
     in_flight: Arc<AtomicUsize>,
+    received: Arc<AtomicUsize>,
 }
 
 impl Server {
@@ -76,6 +77,7 @@
             handler,
             limits,
             in_flight: Arc::default(),
+            received: Arc::default(),
         })
     }
 
@@ -85,6 +87,12 @@
         Arc::clone(&self.in_flight)
     }
 
+    /// Returns the counter of requests received so far.
+    #[must_use]
+    pub fn received(&self) -> Arc<AtomicUsize> {
+        Arc::clone(&self.received)
+    }
+
     /// Returns the address that the server listens on.
     ///
     /// # Errors
@@ -114,6 +122,7 @@
                         handler: Arc::clone(&self.handler),
                         limits: self.limits,
                         in_flight: Arc::clone(&self.in_flight),
+                        received: Arc::clone(&self.received),
                     };
                     connections.spawn(serve_connection(accepted, shutdown.clone()));
                 }
@@ -149,6 +158,7 @@
     handler: Arc<dyn Handler>,
     limits: HeaderLimits,
     in_flight: Arc<AtomicUsize>,
+    received: Arc<AtomicUsize>,
 }
 
 async fn serve_connection(accepted: Accepted, shutdown: Shutdown) {
@@ -158,6 +168,7 @@
         handler,
         limits,
         in_flight,
+        received,
     } = accepted;
     if configure_socket(&stream).is_err() {
         return;
@@ -167,6 +178,7 @@
         let handler = Arc::clone(&handler);
         let draining = &shutdown.draining;
         let guard = InFlightGuard::new(&in_flight);
+        received.fetch_add(1, Ordering::Relaxed);
         async move {
             let _guard = guard;
             let mut response = handler.handle(request).await;
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -152,6 +152,8 @@
             deadline_ms: name("deadline"),
             caller: name("caller"),
             expected_process: name("expected"),
+            process: name("process"),
+            load: name("load"),
             not_run: name("not-run"),
         },
         retry_allowance: ArcSwap::from_pointee(FleetBudget {
