feat(overload): decide waiting, refusals and attempts apart from I/O

Cause: bursts and restarts lost requests in three ways. The queue served requests whose response was late already; the estimate of the run time knew nothing after a restart and followed a slow upstream only after slow runs had ended; a request that no upstream had room for in time was refused although its caller could repeat it once only. Change: core::overload holds these decisions, with the load pattern each answers: Waiting (refuses what is no longer expected in time, so that the slot serves the next), RunTimes (by kind, at least the mean age of what runs), Timeouts, Attempts (a second wait past the target latency), Refusal. The relay keeps the sockets and locks. Requests that arrive before the first rules wait for them up to a second. lentilshunt-fake replays load patterns in virtual time against these decisions and five baselines.

--- a/crates/lentilshunt-core/src/lib.rs
+++ b/crates/lentilshunt-core/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`retry`] | retry decisions and retry budgets |
 //! | [`quarantine`] | detection and isolation of requests that crash upstreams |
 //! | [`admission`] | concurrency limit and request queue of an upstream |
+//! | [`overload`] | what waits, is refused and is attempted again under load |
 //! | [`execution`] | state of each non-idempotent request on the executing node |
 //! | [`claim`] | deduplication of repeated non-idempotent requests by idempotency key |
 //! | [`traffic`] | matching of requests to services, and limits of callers |
@@ -29,6 +30,7 @@
 pub mod execution;
 pub mod id;
 pub mod membership;
+pub mod overload;
 pub mod quarantine;
 pub mod retry;
 pub mod routing;
--- /dev/null
+++ b/crates/lentilshunt-core/src/overload/applicant.rs
@@ -0,0 +1,26 @@
+//! A request that asks for a slot of an upstream.
+
+use std::time::Instant;
+
+use crate::admission::Precedence;
+
+/// Requests with similar run times: those of one rank that are all idempotent or all not.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Kind {
+    /// Rank of the requests; 0 is the most urgent.
+    pub rank: u8,
+    /// Whether the requests may run more than once.
+    pub idempotent: bool,
+}
+
+/// A request that asks for a slot of an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Applicant {
+    /// Order among the requests that wait; its deadline is the instant by which the response is
+    /// wanted.
+    pub precedence: Precedence,
+    /// Kind of the request.
+    pub kind: Kind,
+    /// Instant at which the caller no longer waits for the response.
+    pub deadline: Instant,
+}
--- /dev/null
+++ b/crates/lentilshunt-core/tests/overload/run_times.rs
@@ -0,0 +1,48 @@
+//! Tests of the expected run times.
+
+use std::time::Instant;
+
+use lentilshunt_core::overload::RunTimes;
+
+use crate::{LOOKUP, MILLISECOND, ORDER};
+
+#[test]
+fn expected_by_kind() {
+    let now = Instant::now();
+    let mut run_times = RunTimes::new(now);
+    assert_eq!(run_times.expected(LOOKUP, now), None);
+    run_times.observe(LOOKUP, MILLISECOND * 80);
+    run_times.observe(LOOKUP, MILLISECOND * 160);
+    assert_eq!(run_times.expected(LOOKUP, now), Some(MILLISECOND * 90));
+    // A kind without observations is expected to run as long as the others.
+    assert_eq!(run_times.expected(ORDER, now), Some(MILLISECOND * 90));
+    run_times.observe(ORDER, MILLISECOND * 400);
+    assert_eq!(run_times.expected(ORDER, now), Some(MILLISECOND * 400));
+    assert_eq!(run_times.expected(LOOKUP, now), Some(MILLISECOND * 90));
+}
+
+// Pattern: the upstream becomes slow. No slow run has ended yet, but those that run are old.
+#[test]
+fn expected_of_upstream_that_becomes_slow() {
+    let start = Instant::now();
+    let mut run_times = RunTimes::new(start);
+    run_times.observe(LOOKUP, MILLISECOND * 80);
+    for _ in 0..3 {
+        run_times.start(start);
+    }
+    let expected = |run_times: &RunTimes, after| run_times.expected(LOOKUP, start + after);
+    assert_eq!(
+        expected(&run_times, MILLISECOND * 40),
+        Some(MILLISECOND * 80)
+    );
+    assert_eq!(
+        expected(&run_times, MILLISECOND * 900),
+        Some(MILLISECOND * 900)
+    );
+    // Two running requests are too few to tell.
+    run_times.end(start);
+    assert_eq!(
+        expected(&run_times, MILLISECOND * 900),
+        Some(MILLISECOND * 80)
+    );
+}
--- a/crates/lentilshunt-fake/src/lib.rs
+++ b/crates/lentilshunt-fake/src/lib.rs
@@ -12,6 +12,7 @@
 mod cut;
 mod delivery;
 mod node;
+pub mod overload;
 mod placement;
 mod platform;
 mod simulation;
--- a/crates/lentilshunt-node/src/executor/mod.rs
+++ b/crates/lentilshunt-node/src/executor/mod.rs
@@ -16,7 +16,6 @@
 };
 
 pub use claims::{Batching, Claimant, HolderClient, Resolver, Sweeper};
-pub(crate) use gate::Gate;
 pub use http_transport::HttpTransport;
 pub use local_executor::LocalExecutor;
 pub(crate) use local_executor::into_schema;
--- a/crates/lentilshunt-node/src/relay/call.rs
+++ b/crates/lentilshunt-node/src/relay/call.rs
@@ -9,6 +9,7 @@
 use lentilshunt_core::{
     admission::Precedence,
     id::{CallerId, RequestId},
+    overload::{Applicant, Kind},
     quarantine::Fingerprint,
 };
 
@@ -39,7 +40,7 @@
     pub deadline: Instant,
     /// Time at which the target latency of the route has passed; a later response has less value.
     pub target_at: Instant,
-    /// Whether this repeats a request whose target latency has passed.
+    /// Whether the request may wait past its target latency, behind all others of its rank.
     pub is_past_target: bool,
     /// Fingerprint of the calling service, method, path and buffered part of the body; equal for
     /// repeats of the request.
@@ -64,22 +65,43 @@
         Some(request)
     }
 
-    /// Returns the precedence of the request among those that wait for a slot.
-    ///
-    /// A request waits only until its target latency has passed, because its
-    /// caller then retries within the time that remains; the target latency thus
-    /// serves as the deadline for admission. A repeat whose target
-    /// latency has passed already may wait until the deadline.
+    /// Returns the call as one that may wait past its target latency.
+    #[must_use]
+    pub fn past_target(&self) -> Self {
+        Self {
+            is_past_target: true,
+            ..self.clone()
+        }
+    }
+
+    /// Returns the kind of the request, by which run times are estimated.
     #[must_use]
-    pub fn precedence(&self) -> Precedence {
-        Precedence {
+    pub fn kind(&self) -> Kind {
+        Kind {
             rank: self.rank,
-            is_past_target: self.is_past_target,
-            deadline: if self.is_past_target {
-                self.deadline
-            } else {
-                self.target_at.min(self.deadline)
+            idempotent: self.idempotent,
+        }
+    }
+
+    /// Returns the request as one that asks for a slot.
+    ///
+    /// It waits only until its target latency has passed, because its caller then retries within
+    /// the time that remains. A request that may wait past its target latency waits until the
+    /// deadline.
+    #[must_use]
+    pub fn applicant(&self) -> Applicant {
+        Applicant {
+            precedence: Precedence {
+                rank: self.rank,
+                is_past_target: self.is_past_target,
+                deadline: if self.is_past_target {
+                    self.deadline
+                } else {
+                    self.target_at.min(self.deadline)
+                },
             },
+            kind: self.kind(),
+            deadline: self.deadline,
         }
     }
 }
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -1,6 +1,7 @@
 //! Selects endpoints for the attempts of a call and retries it.
 
 use std::{
+    borrow::Cow,
     collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -9,8 +10,9 @@
 
 use hyper::{Request, StatusCode, Uri};
 use lentilshunt_core::{
-    id::{InstanceId, ServiceId},
+    id::ServiceId,
     membership::Endpoint,
+    overload::{Attempts, Limits, Outcome, Step},
     quarantine::{QuarantineStatus, Suspects},
     retry::NodeBudget,
     routing::{AttemptOutcome, Choice, LocalityAware, Observations, Policy, SelectionContext},
@@ -41,8 +43,6 @@
 /// A response that breaks off within this size can still be replaced by another
 /// attempt.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 * 1024;
-/// Maximum number of nodes that one call is sent to, including nodes that refuse it.
-const MAX_TRIED_NODES: usize = 5;
 
 /// Statuses that count against the health of an endpoint; a slow upstream returns others.
 const UNHEALTHY_STATUSES: [StatusCode; 2] =
@@ -63,18 +63,14 @@
     log_limiter: LogLimiter,
 }
 
-/// The attempts of one call so far.
+/// Progress of one call.
 #[derive(Debug, Default)]
 pub struct Progress {
-    /// Instances that the call has been sent to.
-    pub tried: Vec<InstanceId>,
-    /// Attempts that may have reached an upstream.
-    pub upstream_attempts: usize,
-    /// Whether an earlier attempt may have run.
-    pub may_have_run: bool,
+    /// Attempts so far.
+    pub attempts: Attempts,
     /// Timeout of the request (that of the caller, or the default) in milliseconds, for the log.
     pub requested_timeout_ms: u64,
-    /// Whether this repeats a request whose target latency has passed, for the log.
+    /// Whether the request may wait past its target latency, for the log.
     pub is_past_target: bool,
 }
 
@@ -116,34 +112,49 @@
         let retry_budget = self.retry_budget(&call.service);
         let node_count = self.shared.directory.load().node_count();
         retry_budget.deposit(**self.shared.retry_allowance.load(), node_count);
-        let mut last = None;
+        let mut call = Cow::Borrowed(call);
+        let mut last: Option<Reply> = None;
         loop {
-            let endpoint = match self.choose(call, progress) {
+            let limits = Limits {
+                upstream_attempts: max_upstream_attempts,
+                idempotent: call.idempotent,
+                is_past_target: call.is_past_target,
+            };
+            let endpoint = match self.choose(&call, &progress.attempts) {
                 Ok(endpoint) => endpoint,
                 Err(reason) => {
-                    return finish(last.unwrap_or_else(|| Reply::refused(reason)), progress);
+                    let reply = last.take().unwrap_or_else(|| Reply::refused(reason));
+                    let step = progress.attempts.after_last(&limits, reply.reason);
+                    if step != Step::WaitPastTarget {
+                        return finish(reply, progress);
+                    }
+                    call = Cow::Owned(wait_past_target(&call, progress));
+                    last = Some(reply);
+                    continue;
                 }
             };
             let Some(body) = Payload::take_body(&mut payload) else {
                 let reply = last.unwrap_or_else(|| Reply::refused(Reason::NoEndpoint));
                 return finish(reply, progress);
             };
-            let reply = self.attempt(&endpoint, call, body).await;
-            progress.tried.push(endpoint.instance.clone());
-            progress.upstream_attempts += usize::from(reply.may_have_reached_upstream);
-            progress.may_have_run |= reply.verdict != Verdict::NotRun;
-            let may_retry = reply.verdict.permits_retry(call.idempotent)
-                || (call.idempotent && reply.has_retryable_status());
-            let is_done = !may_retry
-                || call.remaining().is_zero()
-                || progress.upstream_attempts >= max_upstream_attempts
-                || progress.tried.len() >= MAX_TRIED_NODES
-                || payload.is_none();
-            // Retries are free until an attempt may have reached an upstream; each later one
-            // withdraws from the budget.
-            if is_done || (progress.upstream_attempts > 0 && !retry_budget.withdraw()) {
+            let reply = self.attempt(&endpoint, &call, body).await;
+            let outcome = Outcome {
+                verdict: reply.verdict,
+                reason: reply.reason,
+                may_have_reached_upstream: reply.may_have_reached_upstream,
+                has_retryable_status: reply.has_retryable_status(),
+            };
+            let attempts = &mut progress.attempts;
+            attempts.record(endpoint.instance.clone(), &outcome);
+            if call.remaining().is_zero() || payload.is_none() {
                 return finish(reply, progress);
             }
+            match attempts.next(&limits, &outcome) {
+                Step::Finish => return finish(reply, progress),
+                Step::RetryPaid if !retry_budget.withdraw() => return finish(reply, progress),
+                Step::RetryFree | Step::RetryPaid => {}
+                Step::WaitPastTarget => call = Cow::Owned(wait_past_target(&call, progress)),
+            }
             if let Some(reason) = reply.reason {
                 let reason = reason.to_string();
                 metrics::counter!("lentilshunt_retries_total", "reason" => reason).increment(1);
@@ -153,7 +164,7 @@
     }
 
     /// Chooses the endpoint of the next attempt, or returns why there is none.
-    fn choose(&self, call: &Call, progress: &Progress) -> Result<Arc<Endpoint>, Reason> {
+    fn choose(&self, call: &Call, attempts: &Attempts) -> Result<Arc<Endpoint>, Reason> {
         let now = Instant::now();
         if self.suspects.status(call.fingerprint, now) == QuarantineStatus::Quarantined {
             return Err(Reason::Quarantined);
@@ -169,7 +180,7 @@
         let selection = SelectionContext {
             service: &call.service,
             route,
-            tried: &progress.tried,
+            tried: &attempts.tried,
             observations: &self.observations,
             now,
             random: rand::random(),
@@ -357,9 +368,17 @@
     }
 }
 
+/// Returns the call as one that may wait past its target latency, and records that.
+fn wait_past_target(call: &Call, progress: &mut Progress) -> Call {
+    progress.is_past_target = true;
+    progress.attempts.wait_past_target();
+    metrics::counter!("lentilshunt_waits_past_target_total").increment(1);
+    call.past_target()
+}
+
 /// Returns the reply of the last attempt with the verdict for all attempts.
 fn finish(reply: Reply, progress: &Progress) -> Reply {
-    if reply.verdict == Verdict::NotRun && progress.may_have_run {
+    if reply.verdict == Verdict::NotRun && progress.attempts.may_have_run {
         return Reply {
             verdict: Verdict::MayHaveRun,
             ..reply
--- a/crates/lentilshunt-node/src/relay/mod.rs
+++ b/crates/lentilshunt-node/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod dispatcher;
 mod executor;
 pub mod fetch;
+mod gate;
 mod guarded;
 pub mod header;
 mod header_names;
--- a/crates/lentilshunt-node/src/relay/outbound.rs
+++ b/crates/lentilshunt-node/src/relay/outbound.rs
@@ -11,6 +11,7 @@
     header::{CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER},
 };
 use lentilshunt_core::{
+    overload::Refusal,
     quarantine::fingerprint,
     traffic::Route,
     verdict::{Reason, Verdict},
@@ -35,18 +36,10 @@
 const MAX_BUFFERED_REQUEST_BYTES: usize = 64 * 1024;
 /// Timeout of a request whose caller sets none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
-/// Minimum `retry-after` of a 503 response that is not due to overload, in seconds.
-const MIN_RETRY_AFTER_SECONDS: f64 = 0.1;
-/// Range of the random jitter that is added to [`MIN_RETRY_AFTER_SECONDS`], in seconds.
-const RETRY_AFTER_JITTER_SECONDS: f64 = 0.3;
-/// Minimum `retry-after` of an overloaded service, as a fraction of the remaining time.
-///
-/// With the jitter it stays below a third of the remaining time, the longest that callers wait
-/// before a retry.
-const MIN_RETRY_AFTER_FRACTION: f64 = 0.2;
-/// Range of the random jitter that is added to [`MIN_RETRY_AFTER_FRACTION`], as a fraction of the
-/// remaining time.
-const RETRY_AFTER_JITTER_FRACTION: f64 = 0.12;
+/// Maximum time for which a request waits for the first traffic rules after the node has started.
+const MAX_STARTUP_WAIT: Duration = Duration::from_secs(1);
+/// Maximum part of the request's timeout for which it waits for the first rules, as a divisor.
+const STARTUP_WAIT_DIVISOR: u32 = 2;
 
 /// Request handler of the listener for callers.
 #[derive(Debug)]
@@ -116,11 +109,20 @@
         arrived_at: Moment,
         id: &str,
     ) -> Result<ParsedRequest, Reason> {
-        let rules = self.shared.rules.load_full();
-        if rules.version() == 0 {
+        let (parts, body) = request.into_parts();
+        let timeout = header_text(
+            &parts.headers,
+            self.shared.header_names.deadline_ms.as_str(),
+        );
+        let timeout = timeout
+            .parse()
+            .map_or(DEFAULT_TIMEOUT, Duration::from_millis);
+        let startup_wait = MAX_STARTUP_WAIT.min(timeout / STARTUP_WAIT_DIVISOR);
+        let startup_deadline = arrived_at.instant() + startup_wait;
+        if !self.shared.wait_for_rules(startup_deadline).await {
             return Err(Reason::NoConfiguration);
         }
-        let (parts, body) = request.into_parts();
+        let rules = self.shared.rules.load_full();
         let host = header_text(&parts.headers, HOST.as_str());
         let host = parts.uri.host().unwrap_or(&host);
         let path = parts.uri.path();
@@ -136,13 +138,6 @@
         if length.unwrap_or(body.size_hint().lower()) > rules.limits().max_body_bytes {
             return Err(Reason::TooLarge);
         }
-        let timeout = header_text(
-            &parts.headers,
-            self.shared.header_names.deadline_ms.as_str(),
-        );
-        let timeout = timeout
-            .parse()
-            .map_or(DEFAULT_TIMEOUT, Duration::from_millis);
         let deadline = arrived_at.instant() + timeout.min(route.timeout);
         let waited = self
             .wait_estimator
@@ -199,7 +194,9 @@
             metrics::counter!("lentilshunt_refusals_total", "reason" => reason).increment(1);
         }
         // Selects the rate limit only; the line is always logged at level info.
-        let level = if reply.reason.is_some() || progress.tried.len() > 1 {
+        let attempts = &progress.attempts;
+        let tried = [attempts.tried_before.as_slice(), attempts.tried.as_slice()].concat();
+        let level = if reply.reason.is_some() || tried.len() > 1 {
             Level::Warning
         } else {
             Level::Info
@@ -215,8 +212,8 @@
             "request" => id,
             "route" => route.map(|route| route.name.as_str()),
             "version" => self.shared.version(),
-            "tried" => progress.tried.join(","),
-            "sent" => progress.upstream_attempts,
+            "tried" => tried.join(","),
+            "sent" => attempts.upstream_attempts,
             "given_ms" => progress.requested_timeout_ms,
             "late" => progress.is_past_target,
             "verdict" => %reply.verdict,
@@ -241,14 +238,11 @@
     let status = status(reply.verdict, reply.reason);
     let mut response = status_response(status);
     if status == StatusCode::SERVICE_UNAVAILABLE {
-        let jitter: f64 = rand::random();
-        let seconds = match reply.reason {
-            Some(Reason::NoRoom | Reason::QueueFull | Reason::Deadline) => {
-                let fraction = MIN_RETRY_AFTER_FRACTION + RETRY_AFTER_JITTER_FRACTION * jitter;
-                remaining.as_secs_f64() * fraction
-            }
-            _ => MIN_RETRY_AFTER_SECONDS + RETRY_AFTER_JITTER_SECONDS * jitter,
+        let refusal = Refusal {
+            reason: reply.reason.unwrap_or(Reason::Deadline),
+            remaining,
         };
+        let seconds = refusal.retry_after(rand::random()).as_secs_f64();
         if let Ok(value) = HeaderValue::try_from(format!("{seconds:.2}")) {
             response.headers_mut().insert(RETRY_AFTER, value);
         }
--- a/crates/lentilshunt-node/src/relay/shared.rs
+++ b/crates/lentilshunt-node/src/relay/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by the components of a relaying node.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Instant};
 
 use arc_swap::ArcSwap;
 use lentilshunt_core::{
@@ -11,7 +11,7 @@
     traffic::Rules,
 };
 use slog::Logger;
-use tokio::sync::watch;
+use tokio::{sync::watch, time::timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use super::HeaderNames;
@@ -149,10 +149,22 @@
         self.rules.load().version()
     }
 
+    /// Waits until traffic rules are active, and returns whether they are by the deadline.
+    pub async fn wait_for_rules(&self, deadline: Instant) -> bool {
+        if self.version() > 0 {
+            return true;
+        }
+        let mut newest = self.newest_version.subscribe();
+        let active = newest.wait_for(|_| self.version() > 0);
+        // The error is that of a dropped sender, which this borrows.
+        matches!(timeout_at(deadline.into(), active).await, Ok(Ok(_)))
+    }
+
     /// Records the version that is active on a node; `None` denotes this node.
     pub fn observe_version(&self, version: VersionId, node: Option<SocketAddr>) {
         self.newest_version.send_if_modified(|newest| {
-            let is_newer = version > newest.version;
+            // A version that becomes active on this node may have been seen on another before.
+            let is_newer = version > newest.version || node.is_none();
             if version >= newest.version {
                 // Among several nodes with the version, the last one seen is queried.
                 *newest = NewestVersion { version, node };
--- a/crates/lentilshunt-node/src/relay/wait_estimator.rs
+++ b/crates/lentilshunt-node/src/relay/wait_estimator.rs
@@ -2,30 +2,30 @@
 
 use std::{collections::HashMap, sync::Mutex, time::Duration};
 
+use lentilshunt_core::overload::Timeouts;
+
 use crate::executor::lock;
 
 /// Maximum number of routes whose timeouts are tracked.
-const MAX_ROUTES: usize = 256;
+const MAX_ROUTES: usize = 4096;
 
-/// Tracks the longest timeout that callers of each route have set.
-///
-/// A caller that repeats a request sets its remaining time as the timeout, so the
-/// difference to the longest timeout is the time that it has waited already.
+/// Tracks the timeouts that callers of each route have set.
 #[derive(Debug, Default)]
 pub struct WaitEstimator {
-    longest_timeouts: Mutex<HashMap<String, Duration>>,
+    routes: Mutex<HashMap<String, Timeouts>>,
 }
 
 impl WaitEstimator {
     /// Records the timeout of a request and estimates how long its caller has waited already.
     pub fn record_and_estimate(&self, route: &str, timeout: Duration) -> Duration {
-        let mut routes = lock(&self.longest_timeouts);
-        if let Some(longest) = routes.get_mut(route) {
-            *longest = timeout.max(*longest);
-            return longest.saturating_sub(timeout);
+        let mut routes = lock(&self.routes);
+        if let Some(timeouts) = routes.get_mut(route) {
+            return timeouts.record_and_estimate(timeout);
         }
         if routes.len() < MAX_ROUTES {
-            routes.insert(route.to_owned(), timeout);
+            let mut timeouts = Timeouts::default();
+            timeouts.record_and_estimate(timeout);
+            routes.insert(route.to_owned(), timeouts);
         }
         Duration::ZERO
     }
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -196,6 +196,8 @@
         deadline_ms: HeaderName::from_static("deadline"),
         caller: HeaderName::from_static("caller"),
         expected_process: HeaderName::from_static("expected"),
+        process: HeaderName::from_static("process"),
+        load: HeaderName::from_static("load"),
         not_run: HeaderName::from_static("not-run"),
     }
 }
