fix(relay): end responses without end, and serve connections that a stop finds waiting

A response without a length that never ends was passed on for as long as the caller stayed (the test was still running after nine minutes). A stop cut off requests of connections in the accept queue, and of connections that were accepted but not yet read: all 20 clients of the test got no answer. A closing server accepts what waits, reads what has arrived and gives a fresh connection 200 ms for its first request. Informational responses are limited to 16. A node checks the id of a response from another node as the executor does. The age of cached store data counts a suspension of the instance.

--- a/crates/lentilshunt-node/src/fleet/domain/cache.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/cache.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::{Mutex, MutexGuard},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -13,6 +13,7 @@
 use crate::{
     executor::lock,
     fleet::{Changes, TableSnapshot},
+    relay::clock::Moment,
 };
 
 /// Rows of the tables that a node watches, with their previous values.
@@ -28,8 +29,9 @@
     /// Revision at which all rows were read.
     full_revision: u64,
     revision: u64,
-    /// Latest instant at which the content is known to have been current.
-    current_at: Instant,
+    /// Latest time at which the content is known to have been current; a suspension of the instance
+    /// counts to its age.
+    current_at: Moment,
     rows: BTreeMap<String, Entry>,
 }
 
@@ -59,7 +61,7 @@
         let new = Table {
             full_revision: snapshot.revision,
             revision: snapshot.revision,
-            current_at: instant_before(age),
+            current_at: Moment::before_now(age),
             rows: rows.collect(),
         };
         tables.insert(table.to_owned(), new);
@@ -75,7 +77,7 @@
             return;
         };
         cached.revision = cached.revision.max(changes.revision);
-        cached.current_at = cached.current_at.max(instant_before(age));
+        cached.current_at = cached.current_at.latest(Moment::before_now(age));
         for change in &changes.changes {
             let entry = cached.rows.entry(change.key.clone()).or_default();
             entry.is_removed = change.value.is_none();
@@ -165,8 +167,3 @@
         lock(&self.tables)
     }
 }
-
-fn instant_before(age: Duration) -> Instant {
-    let now = Instant::now();
-    now.checked_sub(age).unwrap_or(now)
-}
--- a/crates/lentilshunt-node/src/relay/clock.rs
+++ b/crates/lentilshunt-node/src/relay/clock.rs
@@ -21,6 +21,26 @@
         }
     }
 
+    /// Returns the time `age` ago.
+    #[must_use]
+    pub fn before_now(age: Duration) -> Self {
+        let now = Self::now();
+        Self {
+            at: now.at.checked_sub(age).unwrap_or(now.at),
+            ..now
+        }
+    }
+
+    /// Returns the later of two moments.
+    #[must_use]
+    pub fn latest(self, other: Self) -> Self {
+        if other.elapsed() < self.elapsed() {
+            other
+        } else {
+            self
+        }
+    }
+
     /// Returns the instant of the monotonic clock.
     #[must_use]
     pub fn instant(&self) -> Instant {
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -24,6 +24,7 @@
 use super::{
     Call, Executor, LogLimiter, Reply, Shared,
     body::{Body, Payload, empty, read_prefix},
+    header::is_of_another_request,
     inbound::PROBE_PATH,
     node_headers::{read_reply, write_call},
     pool::Pool,
@@ -267,7 +268,10 @@
         match sent {
             Ok(response) => {
                 self.record_response(address);
-                read_reply(response).unwrap_or_else(|| Reply::unknown(Reason::BadAnswer))
+                let reply = read_reply(response);
+                reply
+                    .filter(|reply| !self.is_of_another_request(reply, call))
+                    .unwrap_or_else(|| Reply::unknown(Reason::BadAnswer))
             }
             Err(failure) if failure.verdict() == Verdict::NotRun => {
                 Reply::refused(Reason::Unreachable)
@@ -276,6 +280,14 @@
         }
     }
 
+    /// Returns whether a reply contains the response to another request.
+    fn is_of_another_request(&self, reply: &Reply, call: &Call) -> bool {
+        let request_id = &self.shared.header_names.request_id;
+        let response = reply.response.as_ref();
+        let echoed = response.and_then(|response| response.headers().get(request_id));
+        is_of_another_request(echoed, &call.request_id)
+    }
+
     /// Completes once a node has responded neither to requests nor to a probe.
     async fn wait_until_unresponsive(&self, address: SocketAddr) {
         let since = Instant::now();
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -327,7 +327,10 @@
         // Status 421: the process at the address is not the one that reported itself.
         let has_not_run = headers.contains_key(&self.header_names.not_run)
             || response.status() == StatusCode::MISDIRECTED_REQUEST;
-        if is_of_another_request(headers.get(&self.header_names.request_id), &call.request_id) {
+        if header::is_of_another_request(
+            headers.get(&self.header_names.request_id),
+            &call.request_id,
+        ) {
             return Reply::unknown(Reason::BadAnswer);
         }
         if has_not_run {
@@ -346,8 +349,3 @@
         Reply::from_response(response)
     }
 }
-
-/// Returns whether an echoed id belongs to another request.
-fn is_of_another_request(echoed: Option<&HeaderValue>, request_id: &str) -> bool {
-    echoed.is_some_and(|echoed| echoed.as_bytes() != request_id.as_bytes())
-}
--- a/crates/lentilshunt-node/src/relay/mod.rs
+++ b/crates/lentilshunt-node/src/relay/mod.rs
@@ -13,6 +13,7 @@
 pub mod clock;
 mod dispatcher;
 mod executor;
+mod expiring;
 pub mod fetch;
 mod gate;
 mod guarded;
--- a/crates/lentilshunt-node/src/relay/pool.rs
+++ b/crates/lentilshunt-node/src/relay/pool.rs
@@ -5,7 +5,10 @@
     io,
     net::SocketAddr,
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicUsize, Ordering},
+    },
     task::{Context, Poll},
     time::{Duration, Instant},
 };
@@ -16,6 +19,7 @@
     HeaderMap, Request, Response,
     body::{Body as _, Frame, Incoming, SizeHint},
     client::conn::http1::{self, SendRequest},
+    ext::on_informational,
     header::{CONNECTION, HeaderName},
 };
 use hyper_util::rt::TokioIo;
@@ -23,6 +27,7 @@
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::timeout_at};
+use tokio_util::sync::CancellationToken;
 
 use super::body::{Body, Error as BodyError};
 use crate::executor::lock;
@@ -31,6 +36,8 @@
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Time before the end of a server's keep-alive timeout at which a connection is discarded.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1500);
+/// Maximum number of informational responses (1xx) before the response to a request.
+const MAX_INFORMATIONAL_RESPONSES: usize = 16;
 /// Maximum number of idle connections per server.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 /// Time without a TCP acknowledgement after which a connection is closed (`TCP_USER_TIMEOUT`).
@@ -61,6 +68,12 @@
         /// Connection error.
         source: hyper::Error,
     },
+    /// The server sent informational responses (1xx) without end.
+    #[snafu(display("{address} sent too many informational responses"))]
+    Informational {
+        /// Address of the server.
+        address: SocketAddr,
+    },
     /// The connection failed after the request was sent.
     #[snafu(display("connection to {address} failed after the request was sent"))]
     ConnectionLost {
@@ -77,7 +90,7 @@
     pub fn verdict(&self) -> Verdict {
         match self {
             Self::Connect { .. } | Self::NotSent { .. } => Verdict::NotRun,
-            Self::ConnectionLost { .. } => Verdict::MayHaveRun,
+            Self::Informational { .. } | Self::ConnectionLost { .. } => Verdict::MayHaveRun,
         }
     }
 }
@@ -132,8 +145,13 @@
         mut request: Request<Body>,
     ) -> Result<Response<Body>, Failure> {
         let idle = self.idle_list(address);
+        let too_many = limit_informational_responses(&mut request);
         while let Some(mut sender) = idle.pop() {
-            match sender.try_send_request(request).await {
+            let sent = tokio::select! {
+                sent = sender.try_send_request(request) => sent,
+                () = too_many.cancelled() => return InformationalSnafu { address }.fail(),
+            };
+            match sent {
                 Ok(response) => return Ok(self.pooled_response(response, idle, sender)),
                 Err(mut error) => match error.take_message() {
                     // The server closed the connection while it was idle.
@@ -145,7 +163,11 @@
             }
         }
         let mut sender = self.connect(address).await?;
-        match sender.try_send_request(request).await {
+        let sent = tokio::select! {
+            sent = sender.try_send_request(request) => sent,
+            () = too_many.cancelled() => return InformationalSnafu { address }.fail(),
+        };
+        match sent {
             Ok(response) => Ok(self.pooled_response(response, idle, sender)),
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
@@ -295,6 +317,19 @@
     }
 }
 
+/// Returns a token that is cancelled once too many informational responses to a request arrive.
+fn limit_informational_responses(request: &mut Request<Body>) -> CancellationToken {
+    let too_many = CancellationToken::new();
+    let count = AtomicUsize::new(0);
+    let token = too_many.clone();
+    on_informational(request, move |_response| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL_RESPONSES {
+            token.cancel();
+        }
+    });
+    too_many
+}
+
 /// Sets the socket options that detect unresponsive connections.
 pub(super) fn configure_socket(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
--- a/crates/lentilshunt-node/src/relay/server.rs
+++ b/crates/lentilshunt-node/src/relay/server.rs
@@ -7,11 +7,12 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
 
+use futures_util::FutureExt;
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -29,6 +30,11 @@
 /// Delay after a failed accept, for example without free file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Time for which a connection without any request stays open after the server is closed.
+///
+/// Its client has opened it for a request that is on its way.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(200);
+
 /// Handles the requests of a [`Server`].
 pub trait Handler: Debug + Send + Sync {
     /// Handles one request.
@@ -109,26 +115,32 @@
     /// idle connections are closed.
     pub async fn run(self, shutdown: Shutdown) {
         let connections = TaskTracker::new();
+        let serve = |(stream, address)| {
+            let accepted = Accepted {
+                stream,
+                client: ClientAddress(address),
+                handler: Arc::clone(&self.handler),
+                limits: self.limits,
+                in_flight: Arc::clone(&self.in_flight),
+                received: Arc::clone(&self.received),
+            };
+            connections.spawn(serve_connection(accepted, shutdown.clone()));
+        };
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
                 () = shutdown.closed.cancelled() => break,
             };
             match accepted {
-                Ok((stream, address)) => {
-                    let accepted = Accepted {
-                        stream,
-                        client: ClientAddress(address),
-                        handler: Arc::clone(&self.handler),
-                        limits: self.limits,
-                        in_flight: Arc::clone(&self.in_flight),
-                        received: Arc::clone(&self.received),
-                    };
-                    connections.spawn(serve_connection(accepted, shutdown.clone()));
-                }
+                Ok(accepted) => serve(accepted),
                 Err(_exhausted) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
             }
         }
+        // Closing the listener resets connections that it has not accepted, although their clients
+        // may have sent a request already.
+        while let Some(Ok(accepted)) = self.listener.accept().now_or_never() {
+            serve(accepted);
+        }
         drop(self.listener);
         connections.close();
         connections.wait().await;
@@ -173,7 +185,9 @@
     if configure_socket(&stream).is_err() {
         return;
     }
+    let has_request = AtomicBool::new(false);
     let service = service_fn(|mut request: Request<Incoming>| {
+        has_request.store(true, Ordering::Relaxed);
         request.extensions_mut().insert(client);
         let handler = Arc::clone(&handler);
         let draining = &shutdown.draining;
@@ -195,10 +209,18 @@
         .header_read_timeout(limits.header_timeout)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let closing = async {
+        shutdown.closed.cancelled().await;
+        if !has_request.load(Ordering::Relaxed) {
+            tokio::time::sleep(FIRST_REQUEST_TIME).await;
+        }
+    };
     tokio::select! {
+        // A request that has arrived is read before the connection closes.
+        biased;
         // A client that closes early is not an error of the server.
         _ended = connection.as_mut() => {}
-        () = shutdown.closed.cancelled() => {
+        () = closing => {
             connection.as_mut().graceful_shutdown();
             drop(connection.await);
         }
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -280,12 +280,17 @@
             let _read = stream.read(&mut request).await.unwrap();
         }
     });
+    (nodes_with_upstream(count, address).await, accepted)
+}
+
+/// Starts nodes as [`nodes`] does; the upstream of the first has the given address.
+pub async fn nodes_with_upstream(count: usize, address: SocketAddr) -> Vec<Node> {
     let mut nodes = vec![node(0, Some(address)).await];
     for index in 1..count {
         nodes.push(node(index, None).await);
     }
     connect(&nodes);
-    (nodes, accepted)
+    nodes
 }
 
 fn connect(nodes: &[Node]) {
--- a/crates/lentilshunt-node/tests/relay/main.rs
+++ b/crates/lentilshunt-node/tests/relay/main.rs
@@ -3,4 +3,9 @@
 mod call;
 mod fetch;
 mod fixture;
+mod hostile;
+mod malformed;
+mod raw_upstream;
+mod restart;
+mod server;
 mod upstream;
--- /dev/null
+++ b/crates/lentilshunt-node/tests/relay/raw_upstream.rs
@@ -0,0 +1,186 @@
+//! An upstream that writes bytes to its connections without regard for the protocol.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::Mutex,
+    time::sleep,
+};
+
+/// An upstream whose behavior depends on the first path segment.
+///
+/// - `twice`: sends its response twice; the second segment gives the delay of the second in
+///   milliseconds, the third `whole`, `cut` (inside the head), or `chunked`.
+/// - `healthz`: responds to a health check; the second segment is `ready` or `leaving`.
+/// - `endless`: never ends its response; the second segment gives the part that has no end.
+/// - others: responds with [`RawUpstream::body`].
+#[derive(Debug)]
+pub struct RawUpstream {
+    pub address: SocketAddr,
+    /// Bytes of responses without end that the node has accepted.
+    pub endless_bytes: Arc<AtomicUsize>,
+    /// Connections with a response without end that the node has closed.
+    pub closed: Arc<AtomicUsize>,
+}
+
+impl RawUpstream {
+    /// Starts the upstream.
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let upstream = Self {
+            address: listener.local_addr().unwrap(),
+            endless_bytes: Arc::default(),
+            closed: Arc::default(),
+        };
+        let (endless_bytes, closed) = (
+            Arc::clone(&upstream.endless_bytes),
+            Arc::clone(&upstream.closed),
+        );
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(
+                    stream,
+                    Arc::clone(&endless_bytes),
+                    Arc::clone(&closed),
+                ));
+            }
+        });
+        upstream
+    }
+
+    /// Returns the body of the response to a request.
+    pub fn body(request_id: &str) -> String {
+        format!("response to {request_id};").repeat(20)
+    }
+}
+
+async fn serve(stream: TcpStream, endless_bytes: Arc<AtomicUsize>, closed: Arc<AtomicUsize>) {
+    let (mut reader, writer) = stream.into_split();
+    let writer = Arc::new(Mutex::new(writer));
+    while let Some((path, id)) = read_request(&mut reader).await {
+        let segments: Vec<&str> = path.split('/').skip(1).collect();
+        match segments[..] {
+            ["twice", delay_ms, form, ..] => {
+                let response = match form {
+                    "chunked" => chunked_response(&id),
+                    _ => response(&id),
+                };
+                let second = match form {
+                    "cut" => response[..30].to_owned(),
+                    _ => response.clone(),
+                };
+                let delay = Duration::from_millis(delay_ms.parse().unwrap());
+                if delay.is_zero() {
+                    write(&writer, &(response + &second)).await;
+                } else {
+                    write(&writer, &response).await;
+                    let writer = Arc::clone(&writer);
+                    tokio::spawn(async move {
+                        sleep(delay).await;
+                        write(&writer, &second).await;
+                    });
+                }
+            }
+            ["healthz", state, ..] => {
+                let status = match state {
+                    "ready" => "200 OK",
+                    _ => "503 Service Unavailable",
+                };
+                let headers = "process: p7\r\nload: 1,0,9\r\ncontent-length: 0";
+                write(&writer, &format!("HTTP/1.1 {status}\r\n{headers}\r\n\r\n")).await;
+            }
+            ["endless", part, ..] => {
+                write_endless(&writer, part, &id, &endless_bytes).await;
+                closed.fetch_add(1, Ordering::SeqCst);
+                return;
+            }
+            _ => write(&writer, &response(&id)).await,
+        }
+    }
+}
+
+/// Reads the head of a request without a body, and returns its path and id.
+async fn read_request(reader: &mut OwnedReadHalf) -> Option<(String, String)> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(reader.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).unwrap();
+    let path = head.split(' ').nth(1)?.to_owned();
+    let mut lines = head.lines();
+    let id = lines.find_map(|line| line.strip_prefix("attempt: "));
+    Some((path, id.unwrap_or_default().to_owned()))
+}
+
+async fn write(writer: &Mutex<OwnedWriteHalf>, text: &str) {
+    // The node may have closed the connection.
+    let _is_closed = writer.lock().await.write_all(text.as_bytes()).await;
+}
+
+fn head(id: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nattempt: {id}\r\nseal: sealed\r\n")
+}
+
+fn response(id: &str) -> String {
+    let body = RawUpstream::body(id);
+    format!("{}content-length: {}\r\n\r\n{body}", head(id), body.len())
+}
+
+fn chunked_response(id: &str) -> String {
+    let body = RawUpstream::body(id);
+    let head = head(id);
+    let length = body.len();
+    format!("{head}transfer-encoding: chunked\r\n\r\n{length:x}\r\n{body}\r\n0\r\n\r\n")
+}
+
+/// Writes a response without end until the node closes the connection.
+///
+/// The parts ending in `-slowly` are written with a pause between two pieces.
+async fn write_endless(
+    writer: &Mutex<OwnedWriteHalf>,
+    part: &str,
+    id: &str,
+    endless_bytes: &AtomicUsize,
+) {
+    let chunked = format!("{}transfer-encoding: chunked\r\n\r\n", head(id));
+    let (part, pause) = match part.strip_suffix("-slowly") {
+        Some(part) => (part, Duration::from_millis(100)),
+        None => (part, Duration::ZERO),
+    };
+    let (start, repeated) = match part {
+        "status" => ("HTTP/1.1 200 ".to_owned(), "O".repeat(500)),
+        "headers" => (head(id), "x: y\r\n".repeat(80)),
+        "value" => (format!("{}x: ", head(id)), "y".repeat(500)),
+        "informational" => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".to_owned()),
+        "chunk-size" => (chunked, "0".repeat(500)),
+        "extension" => (format!("{chunked}5;"), "x".repeat(500)),
+        "trailers" => (format!("{chunked}0\r\n"), "x: y\r\n".repeat(80)),
+        "beyond-length" => (response(id), "z".repeat(500)),
+        "body" => (
+            format!("{}connection: close\r\n\r\n", head(id)),
+            "z".repeat(500),
+        ),
+        "garbage" => (String::new(), "\u{1}\u{2}".repeat(250)),
+        other => panic!("unknown part {other}"),
+    };
+    let mut writer = writer.lock().await;
+    if writer.write_all(start.as_bytes()).await.is_err() {
+        return;
+    }
+    while writer.write_all(repeated.as_bytes()).await.is_ok() {
+        endless_bytes.fetch_add(repeated.len(), Ordering::SeqCst);
+        sleep(pause).await;
+    }
+}
--- /dev/null
+++ b/crates/lentilshunt-node/tests/relay/restart.rs
@@ -0,0 +1,52 @@
+//! Tests of what a restarted node believes of its upstream.
+
+use std::time::Instant;
+
+use lentilshunt_core::membership::Phase;
+use lentilshunt_node::relay::upstream::Report;
+
+use crate::{
+    fixture::{nodes_with_upstream, report},
+    raw_upstream::RawUpstream,
+};
+
+// An upstream that leaves must not be used again because its node has restarted.
+#[tokio::test]
+async fn probe_upstream_in_each_state() {
+    let upstream = RawUpstream::start().await;
+    let nodes = nodes_with_upstream(1, upstream.address).await;
+    let executor = &nodes[0].executor;
+    let expected = Report {
+        process: "p7".to_owned(),
+        started_ms: 0,
+        sequence: 0,
+        service: "bales".to_owned(),
+        phase: Phase::Ready,
+        slots: 9,
+    };
+    assert_eq!(
+        executor.probe_upstream("/healthz/ready").await,
+        Some(expected)
+    );
+    assert_eq!(executor.probe_upstream("/healthz/leaving").await, None);
+    // A response without the id of the process is no health check.
+    assert_eq!(executor.probe_upstream("/x").await, None);
+}
+
+// What the upstream reports itself has precedence over an earlier or later health check.
+#[tokio::test]
+async fn adopt_after_report() {
+    let upstream = RawUpstream::start().await;
+    let nodes = nodes_with_upstream(1, upstream.address).await;
+    let executor = &nodes[0].executor;
+    let now = Instant::now();
+    executor.apply_report(&report("p1", 2, Phase::Draining), now);
+    let probed = Report {
+        started_ms: 0,
+        sequence: 0,
+        ..report("p1", 0, Phase::Ready)
+    };
+    executor.adopt(&probed, now);
+    let current = executor.upstream(now).expect("an upstream");
+    assert_eq!(current.report.phase, Phase::Draining);
+}
