--- a/crates/lentilshunt-fake/src/overload/mod.rs
+++ b/crates/lentilshunt-fake/src/overload/mod.rs
@@ -28,4 +28,4 @@
 pub use model::{Model, Settings};
 pub use pattern::Pattern;
 pub use placement::Placement;
-pub use summary::Summary;
+pub use summary::{Summary, Tally};
--- a/xtask/src/bench/mod.rs
+++ b/xtask/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Benchmarks.
 
 mod dissemination;
+mod overload;
 mod path;
 mod process;
 
@@ -15,6 +16,9 @@
     /// Measures how versions and records are distributed to every node
     #[bpaf(command)]
     Dissemination(#[bpaf(external(dissemination::arguments))] dissemination::Arguments),
+    /// Compares decisions under load with baselines, in a simulation
+    #[bpaf(command)]
+    Overload(#[bpaf(external(overload::arguments))] overload::Arguments),
     /// Measures latency and goodput of calls
     #[bpaf(command)]
     Path(#[bpaf(external(path::arguments))] path::Arguments),
@@ -31,6 +35,7 @@
 pub fn run(root: &Path, benchmark: &Benchmark) -> Result<(), Whatever> {
     match benchmark {
         Benchmark::Dissemination(arguments) => dissemination::run(root, arguments),
+        Benchmark::Overload(arguments) => overload::run(root, arguments),
         Benchmark::Path(arguments) => path::run(root, arguments),
         Benchmark::Process(arguments) => process::run(root, arguments),
     }
