feat(relay): send long bodies only to a node that has admitted the call

Cause: a body over 64 KiB cannot be sent twice, so a refusal by the first node ended the call with 503, and the body had crossed the links in vain. Change: lent_body lends the body to one attempt after another. Between nodes a long body waits for 100 (Continue), which the executing node sends when its upstream reads the body; a local attempt begins to read it after its admission. `expect` of a caller is answered by the node and not passed on. Checked: tests of a refusal by another node and by the local one (six and one calls of 1.3 MB, which failed with 503 before), of an upstream that responds before it has read the body, and of a caller that leaves midway.

--- a/crates/lentilshunt-node/src/relay/body.rs
+++ b/crates/lentilshunt-node/src/relay/body.rs
@@ -20,9 +20,9 @@
 /// A request body, buffered up to a limit.
 #[derive(Debug)]
 pub enum Payload {
-    /// The complete body, which can be sent again.
+    /// The complete body.
     Buffered(Bytes),
-    /// A buffered prefix and the unread rest, which can be sent only once.
+    /// A buffered prefix and the unread rest.
     Streamed(Bytes, Body),
 }
 
@@ -86,20 +86,6 @@
         }
     }
 
-    /// Returns the body for one attempt.
-    ///
-    /// A buffered payload stays in place for further attempts; a streamed one is
-    /// consumed. Returns `None` when the payload has been consumed already.
-    pub fn take_body(payload: &mut Option<Self>) -> Option<Body> {
-        match payload.take()? {
-            Self::Buffered(bytes) => {
-                *payload = Some(Self::Buffered(bytes.clone()));
-                Some(full(bytes))
-            }
-            streamed @ Self::Streamed(..) => Some(streamed.into_body()),
-        }
-    }
-
     /// Returns the complete body: the buffered bytes followed by the unread rest.
     #[must_use]
     pub fn into_body(self) -> Body {
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -8,7 +8,10 @@
     time::{Duration, Instant},
 };
 
-use hyper::{Request, StatusCode, Uri};
+use hyper::{
+    Request, StatusCode, Uri,
+    header::{EXPECT, HeaderValue},
+};
 use lentilshunt_core::{
     id::ServiceId,
     membership::Endpoint,
@@ -26,6 +29,7 @@
     body::{Body, Payload, empty, read_prefix},
     header::is_of_another_request,
     inbound::PROBE_PATH,
+    lent_body::{Admission, OnContinue, Source},
     node_headers::{read_reply, write_call},
     pool::Pool,
 };
@@ -109,7 +113,7 @@
         max_upstream_attempts: usize,
         progress: &mut Progress,
     ) -> Reply {
-        let mut payload = Some(payload);
+        let source = Source::from(payload);
         let retry_budget = self.retry_budget(&call.service);
         let node_count = self.shared.directory.load().node_count();
         retry_budget.deposit(**self.shared.retry_allowance.load(), node_count);
@@ -134,11 +138,14 @@
                     continue;
                 }
             };
-            let Some(body) = Payload::take_body(&mut payload) else {
+            let Some((body, admission)) = source.lend() else {
                 let reply = last.unwrap_or_else(|| Reply::refused(Reason::NoEndpoint));
                 return finish(reply, progress);
             };
-            let reply = self.attempt(&endpoint, &call, body).await;
+            let reply = self
+                .attempt(&endpoint, &call, body, admission.as_ref())
+                .await;
+            drop(admission);
             let outcome = Outcome {
                 verdict: reply.verdict,
                 reason: reply.reason,
@@ -147,7 +154,7 @@
             };
             let attempts = &mut progress.attempts;
             attempts.record(endpoint.instance.clone(), &outcome);
-            if call.remaining().is_zero() || payload.is_none() {
+            if call.remaining().is_zero() || !source.is_available() {
                 return finish(reply, progress);
             }
             match attempts.next(&limits, &outcome) {
@@ -193,10 +200,21 @@
         }
     }
 
-    async fn attempt(&self, endpoint: &Arc<Endpoint>, call: &Call, body: Body) -> Reply {
+    /// Makes one attempt; `admission` lets it send a long body.
+    async fn attempt(
+        &self,
+        endpoint: &Arc<Endpoint>,
+        call: &Call,
+        body: Body,
+        admission: Option<&Arc<Admission>>,
+    ) -> Reply {
         let observation = self.observations.begin_attempt(endpoint, Instant::now());
         let execution = async {
             let reply = if endpoint.instance == self.shared.locality.instance {
+                // The executor reads the body only after it has admitted the call.
+                if let Some(admission) = admission {
+                    admission.grant();
+                }
                 let reply = self.executor.execute(call, body).await;
                 let free_slots = Some(self.executor.free_slots());
                 Reply {
@@ -204,7 +222,7 @@
                     ..reply
                 }
             } else {
-                self.send(endpoint, call, body).await
+                self.send(endpoint, call, body, admission).await
             };
             buffer_response(reply).await
         };
@@ -250,10 +268,23 @@
     }
 
     /// Sends an attempt to another node.
-    async fn send(&self, endpoint: &Endpoint, call: &Call, body: Body) -> Reply {
-        let Some(request) = self.request(call, body) else {
+    async fn send(
+        &self,
+        endpoint: &Endpoint,
+        call: &Call,
+        body: Body,
+        admission: Option<&Arc<Admission>>,
+    ) -> Reply {
+        let Some(mut request) = self.request(call, body) else {
             return Reply::refused(Reason::BadRequest);
         };
+        if let Some(admission) = admission {
+            // The other node asks to continue when it reads the body.
+            let expectation = HeaderValue::from_static("100-continue");
+            request.headers_mut().insert(EXPECT, expectation);
+            let on_continue = OnContinue(Arc::downgrade(admission));
+            request.extensions_mut().insert(on_continue);
+        }
         let address = endpoint.address;
         let sent = tokio::select! {
             biased;
--- a/crates/lentilshunt-node/src/relay/header.rs
+++ b/crates/lentilshunt-node/src/relay/header.rs
@@ -4,18 +4,20 @@
     HeaderMap, Request,
     body::Body as _,
     header::{
-        CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
+        CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
         PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
     },
 };
 
 use super::body::Body;
 
-/// Headers that are not passed on: hop-by-hop headers, which apply to a single connection, and
-/// `content-length`, which hyper sets from the body that is sent.
-const UNFORWARDED_HEADERS: [HeaderName; 8] = [
+/// Headers that are not passed on: hop-by-hop headers, which apply to a single connection,
+/// `content-length`, which hyper sets from the body that is sent, and `expect`, which a node
+/// answers itself.
+const UNFORWARDED_HEADERS: [HeaderName; 9] = [
     CONNECTION,
     CONTENT_LENGTH,
+    EXPECT,
     TRANSFER_ENCODING,
     TE,
     TRAILER,
--- a/crates/lentilshunt-node/src/relay/mod.rs
+++ b/crates/lentilshunt-node/src/relay/mod.rs
@@ -20,6 +20,7 @@
 pub mod header;
 mod header_names;
 mod inbound;
+mod lent_body;
 mod log_limiter;
 mod node_headers;
 mod notifier;
--- a/crates/lentilshunt-node/src/relay/pool.rs
+++ b/crates/lentilshunt-node/src/relay/pool.rs
@@ -16,7 +16,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
-    HeaderMap, Request, Response,
+    HeaderMap, Request, Response, StatusCode,
     body::{Body as _, Frame, Incoming, SizeHint},
     client::conn::http1::{self, SendRequest},
     ext::on_informational,
@@ -29,7 +29,10 @@
 use tokio::{net::TcpStream, time::timeout_at};
 use tokio_util::sync::CancellationToken;
 
-use super::body::{Body, Error as BodyError};
+use super::{
+    body::{Body, Error as BodyError},
+    lent_body::OnContinue,
+};
 use crate::executor::lock;
 
 /// Header in which a server announces how long it keeps an idle connection.
@@ -318,11 +321,19 @@
 }
 
 /// Returns a token that is cancelled once too many informational responses to a request arrive.
+///
+/// Also passes on a request to continue, if the request waits for one.
 fn limit_informational_responses(request: &mut Request<Body>) -> CancellationToken {
     let too_many = CancellationToken::new();
     let count = AtomicUsize::new(0);
     let token = too_many.clone();
-    on_informational(request, move |_response| {
+    let on_continue = request.extensions_mut().remove::<OnContinue>();
+    on_informational(request, move |response| {
+        if let Some(on_continue) = &on_continue
+            && response.status() == StatusCode::CONTINUE
+        {
+            on_continue.grant();
+        }
         if count.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL_RESPONSES {
             token.cancel();
         }
--- a/crates/lentilshunt-node/tests/relay/main.rs
+++ b/crates/lentilshunt-node/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod fetch;
 mod fixture;
 mod hostile;
+mod long_body;
 mod malformed;
 mod raw_upstream;
 mod restart;
--- a/crates/lentilshunt-node/tests/relay/raw_upstream.rs
+++ b/crates/lentilshunt-node/tests/relay/raw_upstream.rs
@@ -69,7 +69,12 @@
 async fn serve(stream: TcpStream, endless_bytes: Arc<AtomicUsize>, closed: Arc<AtomicUsize>) {
     let (mut reader, writer) = stream.into_split();
     let writer = Arc::new(Mutex::new(writer));
-    while let Some((path, id)) = read_request(&mut reader).await {
+    while let Some(RequestHead {
+        path,
+        id,
+        is_chunked,
+    }) = read_request(&mut reader).await
+    {
         let segments: Vec<&str> = path.split('/').skip(1).collect();
         match segments[..] {
             ["twice", delay_ms, form, ..] => {
@@ -108,11 +113,21 @@
             }
             _ => write(&writer, &response(&id)).await,
         }
+        if is_chunked && skip_chunks(&mut reader).await.is_none() {
+            return;
+        }
     }
 }
 
-/// Reads the head of a request without a body, and returns its path and id.
-async fn read_request(reader: &mut OwnedReadHalf) -> Option<(String, String)> {
+/// What an upstream uses of the head of a request.
+struct RequestHead {
+    path: String,
+    id: String,
+    is_chunked: bool,
+}
+
+/// Reads the head of a request, but not its body.
+async fn read_request(reader: &mut OwnedReadHalf) -> Option<RequestHead> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(reader.read_u8().await.ok()?);
@@ -121,7 +136,26 @@
     let path = head.split(' ').nth(1)?.to_owned();
     let mut lines = head.lines();
     let id = lines.find_map(|line| line.strip_prefix("attempt: "));
-    Some((path, id.unwrap_or_default().to_owned()))
+    Some(RequestHead {
+        path,
+        id: id.unwrap_or_default().to_owned(),
+        is_chunked: head.contains("transfer-encoding: chunked"),
+    })
+}
+
+/// Reads a chunked body to its end.
+async fn skip_chunks(reader: &mut OwnedReadHalf) -> Option<()> {
+    let mut end = Vec::new();
+    let mut buffer = vec![0; 64 * 1024];
+    while !end.ends_with(b"\r\n0\r\n\r\n") {
+        let read = reader.read(&mut buffer).await.ok()?;
+        if read == 0 {
+            return None;
+        }
+        end.extend_from_slice(&buffer[..read]);
+        end.drain(..end.len().saturating_sub(16));
+    }
+    Some(())
 }
 
 async fn write(writer: &Mutex<OwnedWriteHalf>, text: &str) {
