fix(overload): use an upstream again after a slow phase, and let long bodies wait less

Change: an idle upstream is tried in any case, and a run of less than half the average counts by a half. A request with an unread body does not wait past its target latency. Checked: admit_after_slow_phase, which fails without the change; expected_by_kind; after_last_for_other_reasons.

--- a/crates/lentilshunt-core/src/overload/attempts.rs
+++ b/crates/lentilshunt-core/src/overload/attempts.rs
@@ -57,6 +57,8 @@
     pub idempotent: bool,
     /// Whether the request already waits past its target latency.
     pub is_past_target: bool,
+    /// Whether the request has a body that is not read completely.
+    pub has_unread_body: bool,
 }
 
 impl Attempts {
@@ -88,14 +90,17 @@
     /// Returns the next step when no endpoint is left to try, for the given reason.
     ///
     /// Instead of being refused, a request that no upstream has room for in time waits for a slot
-    /// that no other request can use in time: callers repeat a request once or twice only.
+    /// that no other request can use in time: callers repeat a request once or twice only. A
+    /// request with an unread body does not, because a node notices only when it has read the body
+    /// that the caller has left.
     #[must_use]
     pub fn after_last(&self, limits: &Limits, reason: Option<Reason>) -> Step {
         let lacks_room = matches!(
             reason,
             Some(Reason::NoRoom | Reason::QueueFull | Reason::Deadline)
         );
-        let may_wait = !limits.is_past_target && self.upstream_attempts == 0;
+        let may_wait =
+            !limits.is_past_target && !limits.has_unread_body && self.upstream_attempts == 0;
         if lacks_room && may_wait {
             Step::WaitPastTarget
         } else {
--- a/crates/lentilshunt-core/src/overload/run_times.rs
+++ b/crates/lentilshunt-core/src/overload/run_times.rs
@@ -6,6 +6,8 @@
 
 /// A new run time has a weight of one over this number in the average.
 const SMOOTHING_DIVISOR: u32 = 8;
+/// The same for a run time of less than half of the average, as after a slow phase.
+const RECOVERY_DIVISOR: u32 = 2;
 /// Number of ranks whose run times are told apart; lower ranks share the last place.
 const RANKS: usize = 4;
 /// Minimum number of running requests whose age indicates a slow upstream.
@@ -93,7 +95,12 @@
 
 fn average_in(average: &mut Option<Duration>, run: Duration) {
     let updated = average.map_or(run, |average| {
-        average.saturating_sub(average / SMOOTHING_DIVISOR) + run / SMOOTHING_DIVISOR
+        let divisor = if run < average / 2 {
+            RECOVERY_DIVISOR
+        } else {
+            SMOOTHING_DIVISOR
+        };
+        average.saturating_sub(average / divisor) + run / divisor
     });
     *average = Some(updated);
 }
--- a/crates/lentilshunt-core/src/overload/waiting.rs
+++ b/crates/lentilshunt-core/src/overload/waiting.rs
@@ -44,7 +44,7 @@
 /// A request waits only while its response is expected by the deadline in its precedence. One
 /// that can start no longer leaves the slot to the next, because in a burst the slot would
 /// otherwise go to requests whose response is late already. A request that is expected to
-/// outlast its caller is refused even if a slot is free.
+/// outlast its caller is refused even if a slot is free, unless nothing runs.
 #[derive(Debug)]
 pub struct Waiting<T> {
     slots: u32,
@@ -83,7 +83,9 @@
     #[must_use]
     pub fn admit(&self, applicant: &Applicant, now: Instant) -> Admission {
         let run = self.expected_run(applicant, now);
-        if now + run / SHORTEST_RUN_DIVISOR > applicant.deadline {
+        // An idle upstream is tried in any case, since only a run shows that it is no longer slow.
+        let is_idle = self.running == 0;
+        if !is_idle && now + run / SHORTEST_RUN_DIVISOR > applicant.deadline {
             return Admission::Refuse(Reason::Deadline);
         }
         if self.free_slots() > 0 {
--- a/crates/lentilshunt-core/tests/overload/attempts.rs
+++ b/crates/lentilshunt-core/tests/overload/attempts.rs
@@ -10,6 +10,7 @@
     upstream_attempts: 2,
     idempotent: false,
     is_past_target: false,
+    has_unread_body: false,
 };
 
 /// Returns the result of an attempt that an executing node refused.
@@ -97,6 +98,14 @@
     let after = |attempts: &Attempts, reason| attempts.after_last(&LIMITS, Some(reason));
     assert_eq!(after(&attempts, Reason::NoEndpoint), Step::Finish);
     assert_eq!(after(&attempts, Reason::NoRoom), Step::WaitPastTarget);
+    let unread = Limits {
+        has_unread_body: true,
+        ..LIMITS
+    };
+    assert_eq!(
+        attempts.after_last(&unread, Some(Reason::NoRoom)),
+        Step::Finish
+    );
     let mut reached = Attempts::default();
     reached.record("a".to_owned(), &shed());
     assert_eq!(after(&reached, Reason::NoRoom), Step::Finish);
--- a/crates/lentilshunt-core/tests/overload/run_times.rs
+++ b/crates/lentilshunt-core/tests/overload/run_times.rs
@@ -18,6 +18,9 @@
     assert_eq!(run_times.expected(ORDER, now), Some(MILLISECOND * 90));
     run_times.observe(ORDER, MILLISECOND * 400);
     assert_eq!(run_times.expected(ORDER, now), Some(MILLISECOND * 400));
+    // A much shorter run ends a slow phase sooner.
+    run_times.observe(ORDER, MILLISECOND * 100);
+    assert_eq!(run_times.expected(ORDER, now), Some(MILLISECOND * 250));
     assert_eq!(run_times.expected(LOOKUP, now), Some(MILLISECOND * 90));
 }
 
--- a/crates/lentilshunt-core/tests/overload/waiting.rs
+++ b/crates/lentilshunt-core/tests/overload/waiting.rs
@@ -98,6 +98,30 @@
     );
 }
 
+// Pattern: slow upstream. After it the upstream must be used again, although the runs that it
+// had time for were all too long for its callers.
+#[test]
+fn admit_after_slow_phase() {
+    let now = Instant::now();
+    let mut waiting: Waiting<()> = Waiting::new(2, now);
+    waiting.resize(2);
+    waiting.observe(LOOKUP, Duration::from_secs(8));
+    let request = applicant(LOOKUP, now + MILLISECOND * 600, now + MILLISECOND * 1500);
+    let mut admitted = 0;
+    for _ in 0..10 {
+        if waiting.admit(&request, now) == Admission::Start {
+            admitted += 1;
+            waiting.start(now);
+            // One trial at a time.
+            let second = waiting.admit(&request, now);
+            assert!(second == Admission::Start || admitted < 5, "{second:?}");
+            waiting.observe(LOOKUP, MILLISECOND * 200);
+            waiting.end(now);
+        }
+    }
+    assert_eq!(admitted, 10);
+}
+
 // Pattern: loss of power. Without any observation, half of the time until the wanted response
 // is taken as the run time, so that the queue stays short.
 #[test]
--- a/crates/lentilshunt-fake/src/overload/model.rs
+++ b/crates/lentilshunt-fake/src/overload/model.rs
@@ -493,6 +493,7 @@
         upstream_attempts: UPSTREAM_ATTEMPTS,
         idempotent: request.class.kind.idempotent,
         is_past_target: request.is_past_target,
+        has_unread_body: false,
     }
 }
 
