fix(relay): notice callers that leave while their calls wait, and delayed reports

Change: a report of a process that has left with an unknown start is ignored as long as the process cannot have started again and sent so many reports. A node reads bodies of up to 64 KiB before it admits a call; a call with a longer one waits 350 ms at most. Checked: apply_report_after_leaving_with_unknown_start and call_cancelled_by_caller_while_waiting, both seen to fail without the change; admit_with_limited_wait.

--- a/crates/lentilshunt-core/src/overload/applicant.rs
+++ b/crates/lentilshunt-core/src/overload/applicant.rs
@@ -23,4 +23,6 @@
     pub kind: Kind,
     /// Instant at which the caller no longer waits for the response.
     pub deadline: Instant,
+    /// Latest start, whatever the deadline; `None` if there is no such limit.
+    pub starts_by: Option<Instant>,
 }
--- a/crates/lentilshunt-core/src/overload/waiting.rs
+++ b/crates/lentilshunt-core/src/overload/waiting.rs
@@ -168,5 +168,8 @@
 /// Returns the latest start with which a response is expected in time.
 fn latest_start(applicant: &Applicant, run: Duration, now: Instant) -> Instant {
     let wanted = applicant.precedence.deadline;
-    wanted.checked_sub(run).unwrap_or(now)
+    let latest_start = wanted.checked_sub(run).unwrap_or(now);
+    applicant
+        .starts_by
+        .map_or(latest_start, |starts_by| latest_start.min(starts_by))
 }
--- a/crates/lentilshunt-core/tests/overload/waiting.rs
+++ b/crates/lentilshunt-core/tests/overload/waiting.rs
@@ -20,6 +20,7 @@
         },
         kind,
         deadline,
+        starts_by: None,
     }
 }
 
@@ -81,6 +82,20 @@
     );
 }
 
+// A request whose caller may leave unnoticed waits for a short time only.
+#[test]
+fn admit_with_limited_wait() {
+    let now = Instant::now();
+    let waiting = busy(now);
+    let patient = applicant(LOOKUP, now + MILLISECOND * 900, now + MILLISECOND * 1500);
+    let limited = Applicant {
+        starts_by: Some(now + MILLISECOND * 400),
+        ..patient
+    };
+    let until = now + MILLISECOND * 400;
+    assert_eq!(waiting.admit(&limited, now), Admission::Wait { until });
+}
+
 // Pattern: callers that repeat late. A run that would outlast its caller takes no slot.
 #[test]
 fn admit_hopeless() {
--- a/crates/lentilshunt-node/src/relay/call.rs
+++ b/crates/lentilshunt-node/src/relay/call.rs
@@ -15,6 +15,9 @@
 
 use super::{body::Body, clock::Moment, header};
 
+/// Maximum time for which a request with an unread body waits for a slot.
+const MAX_UNREAD_WAIT: Duration = Duration::from_millis(350);
+
 /// A caller's request without its body, shared by all its attempts.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -42,6 +45,10 @@
     pub target_at: Instant,
     /// Whether the request may wait past its target latency, behind all others of its rank.
     pub is_past_target: bool,
+    /// Whether the node has not read the body of the request completely.
+    ///
+    /// It does not notice then that the caller leaves.
+    pub has_unread_body: bool,
     /// Fingerprint of the calling service, method, path and buffered part of the body; equal for
     /// repeats of the request.
     pub fingerprint: Fingerprint,
@@ -102,6 +109,9 @@
             },
             kind: self.kind(),
             deadline: self.deadline,
+            starts_by: self
+                .has_unread_body
+                .then(|| Instant::now() + MAX_UNREAD_WAIT),
         }
     }
 }
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -124,7 +124,7 @@
                 upstream_attempts: max_upstream_attempts,
                 idempotent: call.idempotent,
                 is_past_target: call.is_past_target,
-                has_unread_body: source.is_streamed(),
+                has_unread_body: call.has_unread_body,
             };
             let endpoint = match self.choose(&call, &progress.attempts) {
                 Ok(endpoint) => endpoint,
--- a/crates/lentilshunt-node/src/relay/inbound.rs
+++ b/crates/lentilshunt-node/src/relay/inbound.rs
@@ -8,12 +8,14 @@
     verdict::Reason,
 };
 use lentilshunt_net::BoxFuture;
+use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    Executor, Reply, Shared,
+    Call, Executor, Reply, Shared,
     body::{Body, Payload, empty, from_incoming, read_prefix},
     node_headers::{read_call, write_reply},
+    outbound::MAX_BUFFERED_REQUEST_BYTES,
     server::{ClientAddress, Handler},
 };
 
@@ -74,8 +76,10 @@
             // while its record is unchanged.
             Reply::refused(Reason::NotReady)
         } else {
-            let body = from_incoming(request.into_body());
-            self.executor.execute(&call, body).await
+            match read_body(&call, request.into_body()).await {
+                Ok(body) => self.executor.execute(&call, body).await,
+                Err(reason) => Reply::refused(reason),
+            }
         };
         write_reply(reply, self.executor.free_slots(), self.shared.version())
     }
@@ -99,6 +103,22 @@
     }
 }
 
+/// Returns the body of a call, read completely unless it is a long one.
+///
+/// Only then does the node notice while the call waits that its caller has left.
+async fn read_body(call: &Call, body: Incoming) -> Result<Body, Reason> {
+    let body = from_incoming(body);
+    if call.has_unread_body {
+        return Ok(body);
+    }
+    let payload = read_prefix(body, MAX_BUFFERED_REQUEST_BYTES);
+    match timeout_at(call.deadline.into(), payload).await {
+        Ok(Ok(payload)) => Ok(payload.into_body()),
+        Ok(Err(_broken)) => Err(Reason::BadRequest),
+        Err(_elapsed) => Err(Reason::Deadline),
+    }
+}
+
 impl Handler for Inbound {
     fn handle(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<Body>> {
         Box::pin(self.respond(request))
--- a/crates/lentilshunt-node/src/relay/lent_body.rs
+++ b/crates/lentilshunt-node/src/relay/lent_body.rs
@@ -69,11 +69,6 @@
         Some((body.boxed_unsync(), Some(admission)))
     }
 
-    /// Returns whether the body is passed on as it arrives.
-    pub(super) fn is_streamed(&self) -> bool {
-        matches!(self, Self::Streamed(_))
-    }
-
     /// Returns whether another attempt can have the body.
     pub(super) fn is_available(&self) -> bool {
         match self {
--- a/crates/lentilshunt-node/src/relay/node_headers.rs
+++ b/crates/lentilshunt-node/src/relay/node_headers.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use hyper::{HeaderMap, Request, Response, StatusCode, http::HeaderValue};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    header::{EXPECT, HeaderValue},
+};
 use lentilshunt_core::{
     id::VersionId,
     quarantine::Fingerprint,
@@ -87,6 +90,7 @@
         deadline,
         target_at,
         is_past_target,
+        has_unread_body: headers.contains_key(EXPECT),
         fingerprint,
     };
     Some((call, version))
--- a/crates/lentilshunt-node/src/relay/outbound.rs
+++ b/crates/lentilshunt-node/src/relay/outbound.rs
@@ -34,7 +34,7 @@
 };
 
 /// Maximum size of a request body that is buffered for retries, in bytes.
-const MAX_BUFFERED_REQUEST_BYTES: usize = 64 * 1024;
+pub(super) const MAX_BUFFERED_REQUEST_BYTES: usize = 64 * 1024;
 /// Timeout of a request whose caller sets none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum time for which a request waits for the first traffic rules after the node has started.
@@ -173,6 +173,7 @@
             idempotent: route.idempotent,
             rank: route.rank,
             is_past_target: waited >= route.target_latency,
+            has_unread_body: matches!(payload, Payload::Streamed(..)),
             arrived_at,
             deadline,
             target_at: arrived_at.instant() + route.target_latency.saturating_sub(waited),
--- a/crates/lentilshunt-node/src/relay/upstream.rs
+++ b/crates/lentilshunt-node/src/relay/upstream.rs
@@ -9,6 +9,9 @@
 /// Number of reports that may be missing before an older process may replace a silent one.
 const MISSING_REPORTS_BEFORE_REPLACEMENT: u32 = 2;
 
+/// Part of the report interval that may lie between two reports, as a divisor.
+const REPORT_INTERVAL_TOLERANCE_DIVISOR: u32 = 2;
+
 /// A report (in `executor`: announcement) of an upstream process about itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Report {
@@ -52,7 +55,8 @@
 ///
 /// Reports of one process start are ordered by their sequence number. A process
 /// never returns to an earlier phase. An older process replaces a newer one only
-/// after the newer one has been silent, because a clock may have been set back.
+/// after the newer one has been silent, because a clock may have been set back. A delayed report
+/// of a process that has left is ignored also if the start of the process is unknown.
 /// The state is `None` if the report was ignored.
 #[must_use]
 pub fn apply_report(
@@ -77,7 +81,11 @@
         return accept(report, Change::Changed);
     };
     let old = &current.report;
-    let is_same_start = old.process == report.process && old.started_ms == report.started_ms;
+    let is_same_process = old.process == report.process;
+    if is_same_process && is_late_after_leaving(current, &report, interval, now) {
+        return (Change::Ignored, None);
+    }
+    let is_same_start = is_same_process && old.started_ms == report.started_ms;
     if is_same_start {
         let is_earlier_phase = phase_order(report.phase) < phase_order(old.phase);
         if report.sequence <= old.sequence || is_earlier_phase {
@@ -100,6 +108,24 @@
     accept(report, Change::Changed)
 }
 
+/// Returns whether a report was sent before its process left, by a process whose start is unknown.
+///
+/// A node that restarts may learn of an upstream by its deregistration, which does not contain the
+/// start, and get a delayed report of it afterwards. A process that has started again under the
+/// same id since cannot have sent that many reports yet.
+fn is_late_after_leaving(
+    current: &Upstream,
+    report: &Report,
+    interval: Duration,
+    now: Instant,
+) -> bool {
+    let has_left = current.report.phase == Phase::Gone && current.report.started_ms == 0;
+    let since_leaving = now.saturating_duration_since(current.received_at);
+    let earlier_reports = u32::try_from(report.sequence.saturating_sub(1)).unwrap_or(u32::MAX);
+    let fastest = interval / REPORT_INTERVAL_TOLERANCE_DIVISOR;
+    has_left && since_leaving < fastest.saturating_mul(earlier_reports)
+}
+
 /// Returns the position of a phase in the lifecycle of a process.
 fn phase_order(phase: Phase) -> u8 {
     match phase {
--- a/crates/lentilshunt-node/tests/relay/call.rs
+++ b/crates/lentilshunt-node/tests/relay/call.rs
@@ -219,6 +219,28 @@
     assert_eq!(nodes[1].upstream.running.load(Ordering::SeqCst), 0);
 }
 
+// A call that waits at another node must not reach the upstream after its caller has left.
+#[tokio::test]
+async fn call_cancelled_by_caller_while_waiting() {
+    let nodes = nodes(2).await;
+    nodes[0]
+        .executor
+        .apply_report(&report("p1", 2, Phase::Draining), Instant::now());
+    // Two calls take both slots of the other node for 400 ms.
+    let occupy = || call(&nodes[0], "/slow/x", &[("deadline", "400")], empty());
+    let leave = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let waiting = call(&nodes[0], "/once/left", &[], full(vec![7; 60_000]));
+        let left = tokio::time::timeout(Duration::from_millis(100), waiting).await;
+        left.expect_err("the call waits");
+    };
+    tokio::join!(occupy(), occupy(), leave);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let received = nodes[1].upstream.received.lock().unwrap();
+    let paths: Vec<_> = received.iter().map(|request| &request.path).collect();
+    assert_eq!(paths, ["/slow/x", "/slow/x"]);
+}
+
 /// A stopping node accepts calls of other nodes until it is told to refuse them, and calls of
 /// local callers after that.
 #[tokio::test]
--- a/crates/lentilshunt-node/tests/relay/upstream.rs
+++ b/crates/lentilshunt-node/tests/relay/upstream.rs
@@ -56,6 +56,33 @@
     assert_eq!(updated.map(|updated| updated.report), expected);
 }
 
+// Found by hunt-e4f2-19 of kembara-fleet: a node that had restarted learned of its upstream by the
+// deregistration, and a delayed report two seconds later brought the upstream back into use.
+#[rstest]
+#[case::delayed(14, 2, Change::Ignored)]
+#[case::delayed_first(2, 0, Change::Ignored)]
+#[case::restarted(1, 0, Change::Changed)]
+#[case::restarted_before(14, 10, Change::Changed)]
+fn apply_report_after_leaving_with_unknown_start(
+    #[case] sequence: u64,
+    #[case] seconds: u32,
+    #[case] expected: Change,
+) {
+    let now = Instant::now();
+    let gone = Report {
+        started_ms: 0,
+        ..report("p1", 0, Phase::Gone)
+    };
+    let (_change, gone) = apply_report(None, gone, INTERVAL, now);
+    let next = Report {
+        started_ms: 50,
+        ..report("p1", sequence, Phase::Ready)
+    };
+    let at = now + INTERVAL * seconds;
+    let (change, _updated) = apply_report(gone.as_ref(), next, INTERVAL, at);
+    assert_eq!(change, expected);
+}
+
 #[test]
 fn apply_report_after_clock_was_set_back() {
     let now = Instant::now();
