--- a/crates/lentilshunt-fake/src/lib.rs
+++ b/crates/lentilshunt-fake/src/lib.rs
@@ -6,6 +6,8 @@
 //! direction, and messages can be delayed and duplicated. The simulation is for
 //! tests and measurements and covers no other part of a cluster.
 //!
+//! [`overload`] is a separate model, of callers and upstreams under load.
+//!
 //! The seed determines a run: virtual time, latencies and all random choices
 //! follow from it. Only the CPU time is measured on the real machine.
 
