feat(relay): read, log and count the rate limit that an upstream names

Cause: an upstream may name a rate limit in its responses. Nothing read it, so neither logs nor metrics could tell why upstreams got more requests than they had asked for. Change: overload::Rate, decoded at the edge; a log line on each change with the requests sent since the last one, and three counters. No decision uses the limit yet.

--- a/crates/lentilshunt-core/src/overload/mod.rs
+++ b/crates/lentilshunt-core/src/overload/mod.rs
@@ -14,6 +14,7 @@
 
 mod applicant;
 mod attempts;
+mod rate;
 mod refusal;
 mod run_times;
 mod timeouts;
@@ -21,6 +22,7 @@
 
 pub use applicant::{Applicant, Kind};
 pub use attempts::{Attempts, Limits, Outcome, Step};
+pub use rate::{ParseError, Rate};
 pub use refusal::Refusal;
 pub use run_times::RunTimes;
 pub use timeouts::Timeouts;
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -4,18 +4,19 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwapOption;
 use hyper::{
-    Request, Response, StatusCode,
+    HeaderMap, Request, Response, StatusCode,
     header::{HOST, HeaderValue},
 };
 use lentilshunt_core::{
     id::{InstanceId, ServiceId},
+    overload::{ParseError, Rate},
     quarantine::{QuarantineStatus, Suspects},
     verdict::{Reason, Verdict},
 };
@@ -64,6 +65,10 @@
     /// Service of the upstream.
     service: ServiceId,
     notifier: Notifier,
+    /// Rate limit in the last response of the upstream.
+    rate_limit: Mutex<Option<Rate>>,
+    /// Requests sent to the upstream since its rate limit changed.
+    sent_under_limit: AtomicU64,
     /// Whether calls are refused because reports of the upstream are missing.
     is_silent: AtomicBool,
     log_limiter: LogLimiter,
@@ -95,6 +100,8 @@
             instance: shared.locality.instance.clone(),
             service: shared.service.clone(),
             notifier: Notifier::new(Arc::clone(shared), peer_pool),
+            rate_limit: Mutex::default(),
+            sent_under_limit: AtomicU64::new(0),
             is_silent: AtomicBool::new(false),
             log_limiter: LogLimiter::new(),
             log: shared.log.clone(),
@@ -252,6 +259,8 @@
         if call.remaining().is_zero() {
             return Reply::refused(Reason::Deadline);
         }
+        self.sent_under_limit.fetch_add(1, Ordering::Relaxed);
+        metrics::counter!("lentilshunt_upstream_requests_total").increment(1);
         let response = match self.pool.send(self.upstream_address, request).await {
             Ok(response) => response,
             Err(failure) if failure.verdict() == Verdict::NotRun => {
@@ -320,6 +329,40 @@
         Some(request)
     }
 
+    /// Records the rate limit in a response, and logs it if it has changed.
+    ///
+    /// A refusal without a limit does not end one, as the upstream may refuse a request before it
+    /// adds its headers.
+    fn observe_rate_limit(&self, headers: &HeaderMap, is_refusal: bool) {
+        let limit = headers.get(&self.header_names.rate_limit);
+        if limit.is_none() && is_refusal {
+            return;
+        }
+        let limit = match limit.map(parse_rate).transpose() {
+            Ok(limit) => limit,
+            Err(error) => {
+                metrics::counter!("lentilshunt_rate_limits_unreadable_total").increment(1);
+                if self
+                    .log_limiter
+                    .allows(Level::Warning, Instant::now(), &self.log)
+                {
+                    warn!(self.log, "rate limit of the upstream cannot be read";
+                        "error" => %error);
+                }
+                return;
+            }
+        };
+        let before = std::mem::replace(&mut *lock(&self.rate_limit), limit);
+        if before == limit {
+            return;
+        }
+        metrics::counter!("lentilshunt_rate_limit_changes_total").increment(1);
+        let sent = self.sent_under_limit.swap(0, Ordering::Relaxed);
+        info!(self.log, "rate limit of the upstream changed";
+            "limit" => limit.map(Rate::per_second), "before" => before.map(Rate::per_second),
+            "sent_before" => sent);
+    }
+
     /// Converts a response of the upstream to a reply, and detects refusals and responses to
     /// another request.
     fn classify(&self, call: &Call, mut response: Response<Body>) -> Reply {
@@ -333,6 +376,7 @@
         ) {
             return Reply::unknown(Reason::BadAnswer);
         }
+        self.observe_rate_limit(headers, has_not_run);
         if has_not_run {
             let reason = match response.status() {
                 StatusCode::MISDIRECTED_REQUEST => Reason::NotReady,
@@ -349,3 +393,8 @@
         Reply::from_response(response)
     }
 }
+
+/// Parses the value of a header with a rate.
+fn parse_rate(value: &HeaderValue) -> Result<Rate, ParseError> {
+    String::from_utf8_lossy(value.as_bytes()).parse()
+}
--- a/crates/lentilshunt-node/src/relay/header_names.rs
+++ b/crates/lentilshunt-node/src/relay/header_names.rs
@@ -21,4 +21,7 @@
     pub load: HeaderName,
     /// Present in a response when the upstream has not run the request.
     pub not_run: HeaderName,
+    /// Requests per second that the upstream takes from all nodes together, as a decimal number;
+    /// absent without a limit.
+    pub rate_limit: HeaderName,
 }
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -155,6 +155,7 @@
             process: name("process"),
             load: name("load"),
             not_run: name("not-run"),
+            rate_limit: name("limit"),
         },
         retry_allowance: ArcSwap::from_pointee(FleetBudget {
             percent: 20,
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -199,6 +199,7 @@
         process: HeaderName::from_static("process"),
         load: HeaderName::from_static("load"),
         not_run: HeaderName::from_static("not-run"),
+        rate_limit: HeaderName::from_static("limit"),
     }
 }
 
