--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -57,6 +57,7 @@
 /// - `mixed`, with the header `fail-first`: one upstream fails, all others refuse.
 /// - `failing`: responds with status 500.
 /// - `slow`: responds after 20 s.
+/// - `limited`: names a limit of ten requests per second.
 /// - `foreign`: echoes the id of another request.
 #[derive(Debug, Default)]
 pub struct Upstream {
@@ -152,6 +153,9 @@
         } else {
             id
         };
+        if path.starts_with("/limited/") {
+            headers.insert("limit", HeaderValue::from_static("10.0"));
+        }
         if let Some(echoed) = echoed {
             headers.insert("attempt", echoed);
         }
--- a/crates/lentilshunt-node/tests/relay/main.rs
+++ b/crates/lentilshunt-node/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod hostile;
 mod long_body;
 mod malformed;
+mod rate_limit;
 mod raw_upstream;
 mod restart;
 mod server;
--- /dev/null
+++ b/crates/lentilshunt-node/tests/relay/rate_limit.rs
@@ -0,0 +1,61 @@
+//! Tests of calls to upstreams that limit the rate of requests.
+
+use std::time::{Duration, Instant};
+
+use hyper::StatusCode;
+use lentilshunt_node::relay::body::empty;
+
+use crate::fixture::{Node, call, nodes};
+
+/// Limit that upstreams name in responses to requests under `/limited/`, in requests per second.
+const LIMIT: usize = 10;
+/// Time for which callers send as fast as they get responses.
+const LOAD_TIME: Duration = Duration::from_secs(2);
+/// Number of callers of each node.
+const CALLERS: usize = 4;
+/// Longest time in which a caller is refused whose request no upstream takes in time.
+const MAX_REFUSAL_TIME: Duration = Duration::from_millis(700);
+
+/// Calls a node again and again for [`LOAD_TIME`], and returns the statuses with the slowest call.
+async fn call_repeatedly(node: &Node, path: &str) -> (Vec<StatusCode>, Duration) {
+    let started_at = Instant::now();
+    let mut statuses = Vec::new();
+    let mut slowest = Duration::ZERO;
+    while started_at.elapsed() < LOAD_TIME {
+        let called_at = Instant::now();
+        let response = call(node, path, &[("deadline", "600")], empty()).await;
+        slowest = slowest.max(called_at.elapsed());
+        statuses.push(response.status);
+    }
+    (statuses, slowest)
+}
+
+// Upstreams got more requests than the rate limit that they had named.
+#[tokio::test]
+async fn call_beyond_rate_limit() {
+    let nodes = nodes(2).await;
+    let callers = nodes
+        .iter()
+        .flat_map(|node| std::iter::repeat_n(node, CALLERS));
+    let results =
+        futures_util::future::join_all(callers.map(|node| call_repeatedly(node, "/limited/")))
+            .await;
+    for node in &nodes {
+        let received = node.upstream.received.lock().unwrap().len();
+        let seconds = usize::try_from(LOAD_TIME.as_secs()).unwrap();
+        let allowed = LIMIT * seconds * 3 / 2 + 5;
+        assert!(
+            received <= allowed,
+            "{received} requests, {allowed} allowed"
+        );
+        // The limit is used.
+        assert!(received >= LIMIT * seconds / 2, "{received} requests");
+    }
+    for (statuses, slowest) in results {
+        let is_expected = |status: &StatusCode| {
+            [StatusCode::OK, StatusCode::SERVICE_UNAVAILABLE].contains(status)
+        };
+        assert!(statuses.iter().all(is_expected), "{statuses:?}");
+        assert!(slowest <= MAX_REFUSAL_TIME, "{slowest:?}");
+    }
+}
