fix(overload): keep the rate limit of an upstream at its node

Callers: upstreams that had named a rate limit got about twice as many requests. Cause: only slots bounded what an executor sends; nothing bounded requests per second. Change: overload::RateLimit paces starts at the executor, the only sender of an upstream, so its count is the sum over all nodes. A request beyond the limit is refused as rate-limited at once if its sender knows another free endpoint, and else waits for its turn if that comes in time (overload::Patience). Nodes pass limits on with calls and replies (overload::Notice), so that a restarted executor knows its limit before it sends anything. The limit ends with a response that does not name it, or with the process.

--- a/crates/lentilshunt-core/src/overload/applicant.rs
+++ b/crates/lentilshunt-core/src/overload/applicant.rs
@@ -23,6 +23,10 @@
     pub kind: Kind,
     /// Instant at which the caller no longer waits for the response.
     pub deadline: Instant,
+    /// Whether the sender knows no other endpoint with a free slot.
+    ///
+    /// Only then does the request wait for its turn under a rate limit.
+    pub may_queue: bool,
     /// Latest start, whatever the deadline; `None` if there is no such limit.
     pub starts_by: Option<Instant>,
 }
--- a/crates/lentilshunt-core/src/overload/attempts.rs
+++ b/crates/lentilshunt-core/src/overload/attempts.rs
@@ -97,7 +97,7 @@
     pub fn after_last(&self, limits: &Limits, reason: Option<Reason>) -> Step {
         let lacks_room = matches!(
             reason,
-            Some(Reason::NoRoom | Reason::QueueFull | Reason::Deadline)
+            Some(Reason::NoRoom | Reason::QueueFull | Reason::Deadline | Reason::RateLimited)
         );
         let may_wait =
             !limits.is_past_target && !limits.has_unread_body && self.upstream_attempts == 0;
--- a/crates/lentilshunt-core/src/overload/mod.rs
+++ b/crates/lentilshunt-core/src/overload/mod.rs
@@ -6,6 +6,7 @@
 //! | decision | type | load pattern |
 //! |---|---|---|
 //! | which request runs, waits or is refused at the upstream | [`Waiting`] | bursts, slow upstreams, empty upstreams after a restart |
+//! | how many requests an upstream with a rate limit gets | [`RateLimit`] | upstreams in need, restarts of their nodes |
 //! | how long a run is expected to take | [`RunTimes`] | upstreams that become slow while requests run |
 //! | whether a caller repeats a request | [`Timeouts`] | impatient callers, callers with unequal timeouts |
 //! | whether a call is attempted again, and how | [`Attempts`] | grey upstreams, impatient callers, lost nodes |
@@ -14,7 +15,10 @@
 
 mod applicant;
 mod attempts;
+mod notice;
+mod patience;
 mod rate;
+mod rate_limit;
 mod refusal;
 mod run_times;
 mod timeouts;
@@ -22,7 +26,10 @@
 
 pub use applicant::{Applicant, Kind};
 pub use attempts::{Attempts, Limits, Outcome, Step};
+pub use notice::{Notice, Notices};
+pub use patience::Patience;
 pub use rate::{ParseError, Rate};
+pub use rate_limit::RateLimit;
 pub use refusal::Refusal;
 pub use run_times::RunTimes;
 pub use timeouts::Timeouts;
--- a/crates/lentilshunt-core/src/overload/refusal.rs
+++ b/crates/lentilshunt-core/src/overload/refusal.rs
@@ -45,7 +45,7 @@
     fn is_overload(&self) -> bool {
         matches!(
             self.reason,
-            Reason::NoRoom | Reason::QueueFull | Reason::Deadline
+            Reason::NoRoom | Reason::QueueFull | Reason::Deadline | Reason::RateLimited
         )
     }
 }
--- a/crates/lentilshunt-core/src/overload/waiting.rs
+++ b/crates/lentilshunt-core/src/overload/waiting.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Applicant, Kind, RunTimes};
+use super::{Applicant, Kind, RateLimit, RunTimes};
 use crate::{
     admission::{Queue, Ticket},
     verdict::Reason,
@@ -44,12 +44,14 @@
 /// A request waits only while its response is expected by the deadline in its precedence. One
 /// that can start no longer leaves the slot to the next, because in a burst the slot would
 /// otherwise go to requests whose response is late already. A request that is expected to
-/// outlast its caller is refused even if a slot is free, unless nothing runs.
+/// outlast its caller is refused even if a slot is free, unless nothing runs. Under a rate limit of
+/// the upstream, a request also needs its turn.
 #[derive(Debug)]
 pub struct Waiting<T> {
     slots: u32,
     running: u32,
     run_times: RunTimes,
+    rate_limit: RateLimit,
     queue: Queue<(Applicant, T)>,
 }
 
@@ -61,6 +63,7 @@
             slots: 0,
             running: 0,
             run_times: RunTimes::new(origin),
+            rate_limit: RateLimit::default(),
             queue: Queue::new(capacity),
         }
     }
@@ -70,12 +73,25 @@
         self.slots = slots;
     }
 
-    /// Returns the number of free slots that no request waits for.
+    /// Returns the rate limit of the upstream.
     #[must_use]
-    pub fn free_slots(&self) -> u32 {
+    pub fn rate_limit(&self) -> &RateLimit {
+        &self.rate_limit
+    }
+
+    /// Returns the rate limit of the upstream, to be changed.
+    #[must_use]
+    pub fn rate_limit_mut(&mut self) -> &mut RateLimit {
+        &mut self.rate_limit
+    }
+
+    /// Returns the number of free slots that no request waits for and the rate limit lets be used.
+    #[must_use]
+    pub fn free_slots(&self, now: Instant) -> u32 {
         let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
         self.slots
             .saturating_sub(self.running)
+            .min(self.rate_limit.available(now))
             .saturating_sub(waiting)
     }
 
@@ -88,13 +104,18 @@
         if !is_idle && now + run / SHORTEST_RUN_DIVISOR > applicant.deadline {
             return Admission::Refuse(Reason::Deadline);
         }
-        if self.free_slots() > 0 {
+        if self.free_slots(now) > 0 {
             return Admission::Start;
         }
         if self.slots == 0 {
             return Admission::Refuse(Reason::QueueFull);
         }
         let until = latest_start(applicant, run, now);
+        let turn = self.rate_limit.start_at(self.count_ahead(applicant), now);
+        let is_limited = turn > now;
+        if is_limited && (!applicant.may_queue || turn > until) {
+            return Admission::Refuse(Reason::RateLimited);
+        }
         if now + self.expected_wait(applicant, now) > until {
             return Admission::Refuse(Reason::Deadline);
         }
@@ -108,6 +129,7 @@
     pub fn start(&mut self, now: Instant) {
         self.running += 1;
         self.run_times.start(now);
+        self.rate_limit.record_start(now);
     }
 
     /// Adds a request that waits.
@@ -135,7 +157,7 @@
     ///
     /// A returned request counts as started if it takes a slot.
     pub fn next(&mut self, now: Instant) -> Option<Next<T>> {
-        if self.running >= self.slots {
+        if self.running >= self.slots || self.rate_limit.available(now) == 0 {
             return None;
         }
         let (applicant, request) = self.queue.pop()?;
@@ -147,6 +169,15 @@
         Some(Next::Start(request))
     }
 
+    /// Returns when [`next`](Self::next) is to be called again, if the rate limit keeps a free slot
+    /// from a request that waits.
+    #[must_use]
+    pub fn wake_at(&self, now: Instant) -> Option<Instant> {
+        let is_kept = self.running < self.slots && !self.queue.is_empty();
+        let turn = self.rate_limit.start_at(0, now);
+        (is_kept && turn > now).then_some(turn)
+    }
+
     fn expected_run(&self, applicant: &Applicant, now: Instant) -> Duration {
         let expected = self.run_times.expected(applicant.kind, now);
         expected.unwrap_or_else(|| {
@@ -157,12 +188,17 @@
 
     /// Returns the expected time until a slot is free for a request that arrives.
     fn expected_wait(&self, applicant: &Applicant, now: Instant) -> Duration {
-        let ahead = self.queue.count_ahead_of(applicant.precedence);
-        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        let ahead = self.count_ahead(applicant);
         let run = self.run_times.expected_overall(now);
         let run = run.unwrap_or_else(|| self.expected_run(applicant, now));
         run.saturating_mul(ahead.saturating_add(1)) / self.slots
     }
+
+    /// Returns how many waiting requests start before one that arrives.
+    fn count_ahead(&self, applicant: &Applicant) -> u32 {
+        let ahead = self.queue.count_ahead_of(applicant.precedence);
+        u32::try_from(ahead).unwrap_or(u32::MAX)
+    }
 }
 
 /// Returns the latest start with which a response is expected in time.
--- a/crates/lentilshunt-core/src/retry/decision.rs
+++ b/crates/lentilshunt-core/src/retry/decision.rs
@@ -48,6 +48,7 @@
     match reason {
         Reason::NoRoom
         | Reason::QueueFull
+        | Reason::RateLimited
         | Reason::Deadline
         | Reason::Draining
         | Reason::NotReady
--- a/crates/lentilshunt-core/src/routing/attempt_outcome.rs
+++ b/crates/lentilshunt-core/src/routing/attempt_outcome.rs
@@ -28,7 +28,7 @@
             return Self::Healthy;
         };
         match reason {
-            Reason::QueueFull | Reason::NoRoom => Self::Full,
+            Reason::QueueFull | Reason::NoRoom | Reason::RateLimited => Self::Full,
             Reason::Deadline if verdict == Verdict::NotRun => Self::Full,
             Reason::Draining => Self::Draining,
             Reason::Unreachable
--- a/crates/lentilshunt-core/src/routing/locality_aware.rs
+++ b/crates/lentilshunt-core/src/routing/locality_aware.rs
@@ -43,11 +43,13 @@
             .into_iter()
             .filter(|candidate| candidate.state.availability != Availability::Full)
             .collect();
-        let chosen = choose_in_region(selection, &not_full)
-            .or_else(|| choose_in_other_region(selection, &not_full))
-            .or_else(|| choose_for_queueing(selection, &not_full));
-        chosen.map_or(Choice::Full, |candidate| {
-            Choice::Endpoint(Arc::clone(candidate.endpoint))
+        let free = choose_in_region(selection, &not_full)
+            .or_else(|| choose_in_other_region(selection, &not_full));
+        if let Some(candidate) = free {
+            return Choice::Endpoint(Arc::clone(candidate.endpoint));
+        }
+        choose_for_queueing(selection, &not_full).map_or(Choice::Full, |candidate| {
+            Choice::Queue(Arc::clone(candidate.endpoint))
         })
     }
 }
--- a/crates/lentilshunt-core/src/routing/policy.rs
+++ b/crates/lentilshunt-core/src/routing/policy.rs
@@ -27,6 +27,9 @@
 pub enum Choice {
     /// Endpoint for the next attempt.
     Endpoint(Arc<Endpoint>),
+    /// Endpoint for the next attempt, which is expected to wait there, as no candidate is known to
+    /// have a free slot.
+    Queue(Arc<Endpoint>),
     /// Every candidate is known to be full.
     Full,
     /// There are no candidates.
--- a/crates/lentilshunt-core/src/verdict/reason.rs
+++ b/crates/lentilshunt-core/src/verdict/reason.rs
@@ -33,6 +33,9 @@
     /// The upstream's slots and queue are full, or the ledger of the executing node is.
     #[display("queue-full")]
     QueueFull,
+    /// The upstream takes no more requests for now, by the rate limit that it has named.
+    #[display("rate-limited")]
+    RateLimited,
     /// The deadline has passed or cannot be met.
     #[display("deadline")]
     Deadline,
@@ -76,7 +79,7 @@
 
 impl Reason {
     /// All reasons, in declaration order.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::NoConfiguration,
         Self::BadRequest,
         Self::UnknownService,
@@ -85,6 +88,7 @@
         Self::NoEndpoint,
         Self::NoRoom,
         Self::QueueFull,
+        Self::RateLimited,
         Self::Deadline,
         Self::Draining,
         Self::NotReady,
--- a/crates/lentilshunt-core/tests/overload/waiting.rs
+++ b/crates/lentilshunt-core/tests/overload/waiting.rs
@@ -20,6 +20,7 @@
         },
         kind,
         deadline,
+        may_queue: true,
         starts_by: None,
     }
 }
@@ -169,7 +170,7 @@
     let later = now + MILLISECOND * 200;
     assert_eq!(waiting.next(later), Some(Next::Refuse("late")));
     assert_eq!(waiting.next(later), Some(Next::Start("prompt")));
-    assert_eq!((waiting.next(later), waiting.free_slots()), (None, 0));
+    assert_eq!((waiting.next(later), waiting.free_slots(later)), (None, 0));
 }
 
 #[test]
@@ -177,15 +178,15 @@
     let now = Instant::now();
     let mut waiting = busy(now);
     waiting.resize(3);
-    assert_eq!(waiting.free_slots(), 2);
+    assert_eq!(waiting.free_slots(now), 2);
     let request = applicant(
         LOOKUP,
         now + Duration::from_secs(1),
         now + Duration::from_secs(2),
     );
     let ticket = waiting.push(request, "gone");
-    assert_eq!(waiting.free_slots(), 1);
+    assert_eq!(waiting.free_slots(now), 1);
     assert_eq!(waiting.remove(ticket), Some("gone"));
     assert_eq!(waiting.remove(ticket), None);
-    assert_eq!(waiting.free_slots(), 2);
+    assert_eq!(waiting.free_slots(now), 2);
 }
--- a/crates/lentilshunt-core/tests/routing/fixture.rs
+++ b/crates/lentilshunt-core/tests/routing/fixture.rs
@@ -96,7 +96,7 @@
             random,
         };
         match policy.choose(&selection) {
-            Choice::Endpoint(endpoint) => endpoint.instance.clone(),
+            Choice::Endpoint(endpoint) | Choice::Queue(endpoint) => endpoint.instance.clone(),
             Choice::Full => "full".to_owned(),
             Choice::NoCandidate => "no candidate".to_owned(),
         }
--- a/crates/lentilshunt-fake/src/overload/gate.rs
+++ b/crates/lentilshunt-fake/src/overload/gate.rs
@@ -71,9 +71,9 @@
         })
     }
 
-    pub(super) fn free_slots(&self) -> u32 {
+    pub(super) fn free_slots(&self, now: Instant) -> u32 {
         match self {
-            Self::Product { waiting, .. } => waiting.free_slots(),
+            Self::Product { waiting, .. } => waiting.free_slots(now),
             Self::Baseline(baseline) => baseline.free_slots(),
         }
     }
--- a/crates/lentilshunt-fake/src/overload/model.rs
+++ b/crates/lentilshunt-fake/src/overload/model.rs
@@ -249,7 +249,7 @@
             random,
         });
         let endpoint = match choice {
-            Choice::Endpoint(endpoint) => endpoint,
+            Choice::Endpoint(endpoint) | Choice::Queue(endpoint) => endpoint,
             other => {
                 let reason = if other == Choice::Full {
                     Reason::NoRoom
@@ -378,7 +378,7 @@
         let event = Event::Reply {
             attempt,
             outcome,
-            free_slots: self.gates[attempt.upstream].free_slots(),
+            free_slots: self.gates[attempt.upstream].free_slots(self.instant()),
         };
         self.queue.push(self.now + DELAYS[distance], event);
     }
--- a/crates/lentilshunt-net/src/call/reply.rs
+++ b/crates/lentilshunt-net/src/call/reply.rs
@@ -58,7 +58,7 @@
         (_, Reason::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
         (_, Reason::Duplicate) => StatusCode::CONFLICT,
         (_, Reason::Quarantined) => StatusCode::UNPROCESSABLE_ENTITY,
-        (_, Reason::NoRoom | Reason::QueueFull | Reason::RetryBudget) => {
+        (_, Reason::NoRoom | Reason::QueueFull | Reason::RateLimited | Reason::RetryBudget) => {
             StatusCode::TOO_MANY_REQUESTS
         }
         _ => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/lentilshunt-node/src/entry/dispatcher.rs
+++ b/crates/lentilshunt-node/src/entry/dispatcher.rs
@@ -122,7 +122,7 @@
             random: rand::random(),
         };
         match self.policy.choose(&selection) {
-            Choice::Endpoint(endpoint) => Ok(endpoint),
+            Choice::Endpoint(endpoint) | Choice::Queue(endpoint) => Ok(endpoint),
             Choice::Full => Err(Reason::NoRoom),
             Choice::NoCandidate => Err(Reason::NoEndpoint),
         }
--- a/crates/lentilshunt-node/src/relay/call.rs
+++ b/crates/lentilshunt-node/src/relay/call.rs
@@ -9,7 +9,7 @@
 use lentilshunt_core::{
     admission::Precedence,
     id::{CallerId, RequestId},
-    overload::{Applicant, Kind},
+    overload::{Applicant, Kind, Patience},
     quarantine::Fingerprint,
 };
 
@@ -43,8 +43,8 @@
     pub deadline: Instant,
     /// Time at which the target latency of the route has passed; a later response has less value.
     pub target_at: Instant,
-    /// Whether the request may wait past its target latency, behind all others of its rank.
-    pub is_past_target: bool,
+    /// How long the request waits at an upstream.
+    pub patience: Patience,
     /// Whether the node has not read the body of the request completely.
     ///
     /// It does not notice then that the caller leaves.
@@ -72,11 +72,17 @@
         Some(request)
     }
 
+    /// Returns whether the request may wait past its target latency.
+    #[must_use]
+    pub fn is_past_target(&self) -> bool {
+        self.patience == Patience::UntilDeadline
+    }
+
     /// Returns the call as one that may wait past its target latency.
     #[must_use]
     pub fn past_target(&self) -> Self {
         Self {
-            is_past_target: true,
+            patience: Patience::UntilDeadline,
             ..self.clone()
         }
     }
@@ -97,17 +103,19 @@
     /// deadline.
     #[must_use]
     pub fn applicant(&self) -> Applicant {
+        let is_past_target = self.is_past_target();
         Applicant {
             precedence: Precedence {
                 rank: self.rank,
-                is_past_target: self.is_past_target,
-                deadline: if self.is_past_target {
+                is_past_target,
+                deadline: if is_past_target {
                     self.deadline
                 } else {
                     self.target_at.min(self.deadline)
                 },
             },
             kind: self.kind(),
+            may_queue: self.patience != Patience::Brief,
             deadline: self.deadline,
             starts_by: self
                 .has_unread_body
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -15,7 +15,7 @@
 use lentilshunt_core::{
     id::ServiceId,
     membership::Endpoint,
-    overload::{Attempts, Limits, Outcome, Step},
+    overload::{Attempts, Limits, Notices, Outcome, Patience, Step},
     quarantine::{QuarantineStatus, Suspects},
     retry::NodeBudget,
     routing::{AttemptOutcome, Choice, LocalityAware, Observations, Policy, SelectionContext},
@@ -30,7 +30,7 @@
     header::is_of_another_request,
     inbound::PROBE_PATH,
     lent_body::{Admission, OnContinue, Source},
-    node_headers::{read_reply, write_call},
+    node_headers::{read_reply, write_call, write_notice},
     pool::Pool,
 };
 use crate::executor::lock;
@@ -61,6 +61,7 @@
     pool: Arc<Pool>,
     /// Time of the last response of each node.
     last_responses: Mutex<HashMap<SocketAddr, Instant>>,
+    notices: Mutex<Notices>,
     policy: Box<dyn Policy>,
     observations: Observations,
     suspects: Arc<Suspects>,
@@ -93,6 +94,7 @@
             executor,
             pool,
             last_responses: Mutex::default(),
+            notices: Mutex::default(),
             policy: Box::new(LocalityAware),
             observations: Observations::new(Instant::now()),
             suspects,
@@ -123,11 +125,16 @@
             let limits = Limits {
                 upstream_attempts: max_upstream_attempts,
                 idempotent: call.idempotent,
-                is_past_target: call.is_past_target,
+                is_past_target: call.is_past_target(),
                 has_unread_body: call.has_unread_body,
             };
             let endpoint = match self.choose(&call, &progress.attempts) {
-                Ok(endpoint) => endpoint,
+                Ok((endpoint, patience)) => {
+                    if call.patience != patience {
+                        call.to_mut().patience = patience;
+                    }
+                    endpoint
+                }
                 Err(reason) => {
                     let reply = last.take().unwrap_or_else(|| Reply::refused(reason));
                     let step = progress.attempts.after_last(&limits, reply.reason);
@@ -173,13 +180,19 @@
     }
 
     /// Chooses the endpoint of the next attempt, or returns why there is none.
-    fn choose(&self, call: &Call, attempts: &Attempts) -> Result<Arc<Endpoint>, Reason> {
+    ///
+    /// Also returns how long the attempt waits there.
+    fn choose(
+        &self,
+        call: &Call,
+        attempts: &Attempts,
+    ) -> Result<(Arc<Endpoint>, Patience), Reason> {
         let now = Instant::now();
         if self.suspects.status(call.fingerprint, now) == QuarantineStatus::Quarantined {
             return Err(Reason::Quarantined);
         }
         let directory = self.shared.directory.load();
-        let route = if call.is_past_target {
+        let route = if call.is_past_target() {
             // Traffic between regions costs more than a late response is worth.
             directory.local_region_route(&call.service)
         } else {
@@ -195,7 +208,11 @@
             random: rand::random(),
         };
         match self.policy.choose(&selection) {
-            Choice::Endpoint(endpoint) => Ok(endpoint),
+            Choice::Endpoint(endpoint) | Choice::Queue(endpoint) if call.is_past_target() => {
+                Ok((endpoint, Patience::UntilDeadline))
+            }
+            Choice::Endpoint(endpoint) => Ok((endpoint, Patience::Brief)),
+            Choice::Queue(endpoint) => Ok((endpoint, Patience::UntilTarget)),
             Choice::Full => Err(Reason::NoRoom),
             Choice::NoCandidate => Err(Reason::NoEndpoint),
         }
@@ -276,7 +293,7 @@
         body: Body,
         admission: Option<&Arc<Admission>>,
     ) -> Reply {
-        let Some(mut request) = self.request(call, body) else {
+        let Some(mut request) = self.request(endpoint, call, body) else {
             return Reply::refused(Reason::BadRequest);
         };
         if let Some(admission) = admission {
@@ -301,6 +318,11 @@
             Ok(response) => {
                 self.record_response(address);
                 let reply = read_reply(response);
+                if let Some(reply) = &reply
+                    && (reply.verdict == Verdict::Ran || reply.notice.is_some())
+                {
+                    lock(&self.notices).record(&endpoint.instance, reply.notice);
+                }
                 reply
                     .filter(|reply| !self.is_of_another_request(reply, call))
                     .unwrap_or_else(|| Reply::unknown(Reason::BadAnswer))
@@ -354,10 +376,14 @@
         }
     }
 
-    fn request(&self, call: &Call, body: Body) -> Option<Request<Body>> {
+    fn request(&self, endpoint: &Endpoint, call: &Call, body: Body) -> Option<Request<Body>> {
         let mut request = call.to_request(body)?;
         let (name, value) = write_call(call, self.shared.version())?;
         request.headers_mut().insert(name, value);
+        let notice = lock(&self.notices).get(&endpoint.instance);
+        if let Some((name, value)) = notice.as_ref().and_then(write_notice) {
+            request.headers_mut().insert(name, value);
+        }
         Some(request)
     }
 
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -16,7 +16,7 @@
 };
 use lentilshunt_core::{
     id::{InstanceId, ServiceId},
-    overload::{ParseError, Rate},
+    overload::{Notice, ParseError, Rate},
     quarantine::{QuarantineStatus, Suspects},
     verdict::{Reason, Verdict},
 };
@@ -65,8 +65,6 @@
     /// Service of the upstream.
     service: ServiceId,
     notifier: Notifier,
-    /// Rate limit in the last response of the upstream.
-    rate_limit: Mutex<Option<Rate>>,
     /// Requests sent to the upstream since its rate limit changed.
     sent_under_limit: AtomicU64,
     /// Whether calls are refused because reports of the upstream are missing.
@@ -100,7 +98,6 @@
             instance: shared.locality.instance.clone(),
             service: shared.service.clone(),
             notifier: Notifier::new(Arc::clone(shared), peer_pool),
-            rate_limit: Mutex::default(),
             sent_under_limit: AtomicU64::new(0),
             is_silent: AtomicBool::new(false),
             log_limiter: LogLimiter::new(),
@@ -119,13 +116,14 @@
             now,
         );
         if let Some(applied) = applied {
-            let is_new = current.is_none_or(|current| {
-                current.report.process != applied.report.process
-                    || current.report.started_ms != applied.report.started_ms
-            });
-            if is_new {
+            let current = current.as_deref();
+            let is_same = current.is_some_and(|current| current.is_same_process(&applied.report));
+            if !is_same {
                 self.pool.close_idle(self.upstream_address);
             }
+            if !is_same && current.is_some() {
+                self.gate.reset_rate_limit();
+            }
             self.gate.resize(applied.report.slots);
             self.upstream.store(Some(Arc::new(applied)));
         }
@@ -160,6 +158,7 @@
             return None;
         }
         let headers = response.headers();
+        self.observe_rate_limit(headers, true);
         let load = header_text(headers, self.header_names.load.as_str());
         let slots = load.rsplit(',').next()?.trim().parse().ok()?;
         Some(Report {
@@ -200,6 +199,33 @@
         self.gate.free_slots()
     }
 
+    /// Returns what the current process of the upstream has said of itself.
+    #[must_use]
+    pub fn notice(&self) -> Option<Notice> {
+        let upstream = self.upstream.load();
+        let process = upstream.as_deref()?.process_hash();
+        let rate_limit = self.gate.rate_limit();
+        Some(Notice {
+            process,
+            rate_limit,
+        })
+    }
+
+    /// Applies what another node knows of the upstream, which this one may have learned before it
+    /// restarted.
+    pub fn apply_notice(&self, notice: &Notice) {
+        let upstream = self.upstream.load();
+        let is_current = upstream
+            .as_deref()
+            .is_some_and(|upstream| upstream.process_hash() == notice.process);
+        let Some(limit) = notice.rate_limit.filter(|_| is_current) else {
+            return;
+        };
+        if self.gate.suggest_rate_limit(limit) {
+            self.record_rate_limit(Some(limit), None);
+        }
+    }
+
     /// Runs a call, or refuses it.
     pub async fn execute(&self, call: &Call, body: Body) -> Reply {
         let reply = self.attempt(call, body).await;
@@ -235,8 +261,9 @@
             "sequence" => report.map(|report| report.sequence),
             "report_age_ms" => age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             "room" => self.gate.free_slots(),
+            "limit" => self.gate.rate_limit().map(Rate::per_second),
             "rank" => call.rank,
-            "late" => call.is_past_target,
+            "late" => call.is_past_target(),
         );
     }
 
@@ -352,10 +379,14 @@
                 return;
             }
         };
-        let before = std::mem::replace(&mut *lock(&self.rate_limit), limit);
-        if before == limit {
-            return;
+        let before = self.gate.rate_limit();
+        if self.gate.confirm_rate_limit(limit) {
+            self.record_rate_limit(limit, before);
         }
+    }
+
+    /// Counts and logs a change of the rate limit.
+    fn record_rate_limit(&self, limit: Option<Rate>, before: Option<Rate>) {
         metrics::counter!("lentilshunt_rate_limit_changes_total").increment(1);
         let sent = self.sent_under_limit.swap(0, Ordering::Relaxed);
         info!(self.log, "rate limit of the upstream changed";
--- a/crates/lentilshunt-node/src/relay/gate.rs
+++ b/crates/lentilshunt-node/src/relay/gate.rs
@@ -3,17 +3,20 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::Instant,
 };
 
 use lentilshunt_core::{
     admission::Ticket,
-    overload::{Admission, Applicant, Kind, Next, Waiting},
+    overload::{Admission, Applicant, Kind, Next, Rate, Waiting},
     verdict::Reason,
 };
-use tokio::{sync::oneshot, time::timeout_at};
+use tokio::{
+    sync::oneshot,
+    time::{sleep_until, timeout_at},
+};
 
 use crate::executor::lock;
 
@@ -21,8 +24,8 @@
 #[derive(Debug)]
 pub(super) struct Gate {
     waiting: Mutex<Waiting<oneshot::Sender<Slot>>>,
-    /// Free slots that no request waits for, readable without the lock.
-    free_slots: AtomicU32,
+    /// Whether a task waits for the next turn under the rate limit.
+    has_timer: AtomicBool,
 }
 
 /// An acquired slot, released when it is dropped.
@@ -43,7 +46,7 @@
     pub(super) fn new(capacity: usize) -> Self {
         Self {
             waiting: Mutex::new(Waiting::new(capacity, Instant::now())),
-            free_slots: AtomicU32::new(0),
+            has_timer: AtomicBool::new(false),
         }
     }
 
@@ -54,9 +57,35 @@
         self.grant(waiting);
     }
 
-    /// Returns the number of free slots that no request waits for.
+    /// Returns the number of free slots that a request can take at once.
     pub(super) fn free_slots(&self) -> u32 {
-        self.free_slots.load(Ordering::Relaxed)
+        self.lock().free_slots(Instant::now())
+    }
+
+    /// Returns the rate limit of the upstream, if it has one.
+    pub(super) fn rate_limit(&self) -> Option<Rate> {
+        self.lock().rate_limit().rate()
+    }
+
+    /// Applies the rate limit in a response of the upstream, and returns whether it has changed.
+    pub(super) fn confirm_rate_limit(self: &Arc<Self>, limit: Option<Rate>) -> bool {
+        let mut waiting = self.lock();
+        let has_changed = waiting.rate_limit_mut().confirm(limit, Instant::now());
+        self.grant(waiting);
+        has_changed
+    }
+
+    /// Applies the rate limit that another node has seen, and returns whether it has changed.
+    pub(super) fn suggest_rate_limit(&self, limit: Rate) -> bool {
+        let mut waiting = self.lock();
+        waiting.rate_limit_mut().suggest(limit, Instant::now())
+    }
+
+    /// Forgets the rate limit, which was that of another process.
+    pub(super) fn reset_rate_limit(self: &Arc<Self>) {
+        let mut waiting = self.lock();
+        waiting.rate_limit_mut().reset();
+        self.grant(waiting);
     }
 
     /// Waits for a slot, or returns why there is none in time.
@@ -67,14 +96,13 @@
             match waiting.admit(&applicant, now) {
                 Admission::Start => {
                     waiting.start(now);
-                    self.publish(&waiting);
                     return Ok(self.slot(now));
                 }
                 Admission::Refuse(reason) => return Err(reason),
                 Admission::Wait { until } => {
                     let (sender, granted) = oneshot::channel();
                     let ticket = waiting.push(applicant, sender);
-                    self.publish(&waiting);
+                    self.start_timer(waiting.wake_at(now));
                     (until, ticket, granted)
                 }
             }
@@ -82,6 +110,9 @@
         let _position = Position { gate: self, ticket };
         match timeout_at(until.into(), granted).await {
             Ok(Ok(slot)) => Ok(slot),
+            Ok(Err(_)) | Err(_) if self.lock().wake_at(Instant::now()).is_some() => {
+                Err(Reason::RateLimited)
+            }
             Ok(Err(_)) | Err(_) => Err(Reason::Deadline),
         }
     }
@@ -97,9 +128,23 @@
         }
     }
 
-    fn publish(&self, waiting: &Waiting<oneshot::Sender<Slot>>) {
-        self.free_slots
-            .store(waiting.free_slots(), Ordering::Relaxed);
+    /// Grants slots again at the given instant, unless a task does so earlier.
+    fn start_timer(self: &Arc<Self>, at: Option<Instant>) {
+        let Some(at) = at else {
+            return;
+        };
+        if self.has_timer.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let gate = Arc::downgrade(self);
+        tokio::spawn(async move {
+            sleep_until(at.into()).await;
+            if let Some(gate) = gate.upgrade() {
+                gate.has_timer.store(false, Ordering::Release);
+                let waiting = gate.lock();
+                gate.grant(waiting);
+            }
+        });
     }
 
     /// Grants free slots to waiting requests.
@@ -114,7 +159,7 @@
                 Next::Refuse(sender) => drop(sender),
             }
         }
-        self.publish(&waiting);
+        self.start_timer(waiting.wake_at(now));
         // Dropping a slot locks the gate.
         drop(waiting);
         drop(unreceived);
@@ -139,9 +184,6 @@
 
 impl Drop for Position<'_> {
     fn drop(&mut self) {
-        let mut waiting = self.gate.lock();
-        if waiting.remove(self.ticket).is_some() {
-            self.gate.publish(&waiting);
-        }
+        drop(self.gate.lock().remove(self.ticket));
     }
 }
--- a/crates/lentilshunt-node/src/relay/inbound.rs
+++ b/crates/lentilshunt-node/src/relay/inbound.rs
@@ -4,6 +4,7 @@
 
 use hyper::{Request, Response, body::Incoming};
 use lentilshunt_core::{
+    overload::Notice,
     quarantine::{Suspects, decode},
     verdict::Reason,
 };
@@ -14,7 +15,7 @@
 use super::{
     Call, Executor, Reply, Shared,
     body::{Body, Payload, empty, from_incoming, read_prefix},
-    node_headers::{read_call, write_reply},
+    node_headers::{read_call, read_notice, write_reply},
     outbound::MAX_BUFFERED_REQUEST_BYTES,
     server::{ClientAddress, Handler},
 };
@@ -71,6 +72,10 @@
         // All nodes of a deployment listen on the same port.
         let node = client.map(|ClientAddress(client)| SocketAddr::new(client.ip(), self.peer_port));
         self.shared.observe_version(version, node);
+        let known = read_notice(request.headers());
+        if let Some(known) = &known {
+            self.executor.apply_notice(known);
+        }
         let reply = if self.refuse_calls.is_cancelled() {
             // Not `Draining`, because other nodes would still avoid the endpoint after a restart,
             // while its record is unchanged.
@@ -81,6 +86,13 @@
                 Err(reason) => Reply::refused(reason),
             }
         };
+        let notice = self.executor.notice();
+        // A caller that knows of a limit learns that it has ended.
+        let is_news = |notice: &Notice| notice.rate_limit.is_some() || known.is_some();
+        let reply = Reply {
+            notice: notice.filter(is_news),
+            ..reply
+        };
         write_reply(reply, self.executor.free_slots(), self.shared.version())
     }
 
--- a/crates/lentilshunt-node/src/relay/node_headers.rs
+++ b/crates/lentilshunt-node/src/relay/node_headers.rs
@@ -8,6 +8,7 @@
 };
 use lentilshunt_core::{
     id::VersionId,
+    overload::{Notice, Patience},
     quarantine::Fingerprint,
     verdict::{Reason, Verdict},
 };
@@ -23,6 +24,8 @@
 const CALL_HEADER: &str = "lentilshunt-call";
 /// Header that carries the metadata of a reply.
 const REPLY_HEADER: &str = "lentilshunt-reply";
+/// Header that carries what an upstream has said of itself, in calls and replies.
+const NOTICE_HEADER: &str = "lentilshunt-upstream";
 /// Encoding of an absent value.
 const ABSENT: &str = "-";
 
@@ -34,10 +37,16 @@
 pub fn write_call(call: &Call, version: VersionId) -> Option<(&'static str, HeaderValue)> {
     // `i`: idempotent, `n`: not. `l`: past the target latency, `p`: within it.
     let idempotence = if call.idempotent { 'i' } else { 'n' };
-    let timeliness = if call.is_past_target { 'l' } else { 'p' };
+    let timeliness = if call.is_past_target() { 'l' } else { 'p' };
+    // `q`: may wait for its turn under a rate limit, `d`: is refused then.
+    let queueing = if call.patience == Patience::Brief {
+        'd'
+    } else {
+        'q'
+    };
     let target = call.target_at.saturating_duration_since(Instant::now());
     let text = format!(
-        "{} {} {idempotence} {timeliness} {} {} {} {version} {:x}",
+        "{} {} {idempotence} {timeliness} {} {} {} {version} {:x} {queueing}",
         call.service,
         call.caller,
         call.rank,
@@ -77,6 +86,13 @@
     let target_at = arrived_at.instant() + Duration::from_millis(parts.next()?.parse().ok()?);
     let version = parts.next()?.parse().ok()?;
     let fingerprint = Fingerprint::from_str_radix(parts.next()?, 16).ok()?;
+    // A node of an earlier release does not send this field.
+    let may_queue = parts.next() != Some("d");
+    let patience = match (is_past_target, may_queue) {
+        (true, _) => Patience::UntilDeadline,
+        (false, true) => Patience::UntilTarget,
+        (false, false) => Patience::Brief,
+    };
     let call = Call {
         request_id: header_text(headers, request_id_header.as_str()),
         service,
@@ -89,7 +105,7 @@
         arrived_at,
         deadline,
         target_at,
-        is_past_target,
+        patience,
         has_unread_body: headers.contains_key(EXPECT),
         fingerprint,
     };
@@ -111,14 +127,45 @@
     if let Ok(value) = HeaderValue::try_from(text) {
         response.headers_mut().insert(REPLY_HEADER, value);
     }
+    if let Some((name, value)) = reply.notice.as_ref().and_then(write_notice) {
+        response.headers_mut().insert(name, value);
+    }
     response
 }
 
+/// Encodes what an upstream has said of itself as a header name and value.
+#[must_use]
+pub fn write_notice(notice: &Notice) -> Option<(&'static str, HeaderValue)> {
+    let rate_limit = notice.rate_limit.map(|rate| rate.to_string());
+    let rate_limit = rate_limit.as_deref().unwrap_or(ABSENT);
+    let text = format!("{:x} {rate_limit}", notice.process);
+    Some((NOTICE_HEADER, HeaderValue::try_from(text).ok()?))
+}
+
+/// Decodes what an upstream has said of itself.
+///
+/// Returns `None` if the header is missing or malformed.
+#[must_use]
+pub fn read_notice(headers: &HeaderMap) -> Option<Notice> {
+    let mut parts = headers.get(NOTICE_HEADER)?.to_str().ok()?.split(' ');
+    let process = u64::from_str_radix(parts.next()?, 16).ok()?;
+    let rate_limit = match parts.next()? {
+        ABSENT => None,
+        rate => Some(rate.parse().ok()?),
+    };
+    Some(Notice {
+        process,
+        rate_limit,
+    })
+}
+
 /// Decodes the reply of an executing node.
 ///
 /// Returns `None` if the reply header is missing or malformed.
 #[must_use]
 pub fn read_reply(mut response: Response<Body>) -> Option<Reply> {
+    let notice = read_notice(response.headers());
+    response.headers_mut().remove(NOTICE_HEADER);
     let header = response.headers_mut().remove(REPLY_HEADER)?;
     let mut parts = header.to_str().ok()?.split(' ');
     let verdict = Verdict::from_header(parts.next()?)?;
@@ -132,6 +179,7 @@
         may_have_reached_upstream,
         free_slots,
         version,
+        notice,
         response: (verdict == Verdict::Ran).then_some(response),
     })
 }
--- a/crates/lentilshunt-node/src/relay/outbound.rs
+++ b/crates/lentilshunt-node/src/relay/outbound.rs
@@ -11,7 +11,7 @@
     header::{CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER},
 };
 use lentilshunt_core::{
-    overload::Refusal,
+    overload::{Patience, Refusal},
     quarantine::fingerprint,
     traffic::Route,
     verdict::{Reason, Verdict},
@@ -92,7 +92,7 @@
                 route,
                 requested_timeout,
             }) => {
-                progress.is_past_target = call.is_past_target;
+                progress.is_past_target = call.is_past_target();
                 progress.requested_timeout_ms =
                     requested_timeout.as_millis().try_into().unwrap_or(u64::MAX);
                 let reply = self
@@ -172,7 +172,11 @@
             method: parts.method,
             idempotent: route.idempotent,
             rank: route.rank,
-            is_past_target: waited >= route.target_latency,
+            patience: if waited >= route.target_latency {
+                Patience::UntilDeadline
+            } else {
+                Patience::Brief
+            },
             has_unread_body: matches!(payload, Payload::Streamed(..)),
             arrived_at,
             deadline,
--- a/crates/lentilshunt-node/src/relay/reply.rs
+++ b/crates/lentilshunt-node/src/relay/reply.rs
@@ -3,6 +3,7 @@
 use hyper::{Response, StatusCode};
 use lentilshunt_core::{
     id::VersionId,
+    overload::Notice,
     verdict::{Reason, Verdict},
 };
 
@@ -21,6 +22,8 @@
     pub free_slots: Option<u32>,
     /// Active version of the executing node, if it reported one.
     pub version: Option<VersionId>,
+    /// What the upstream has said of itself, if the executing node passes it on.
+    pub notice: Option<Notice>,
     /// Response of the upstream, whose body may still be arriving, for [`Verdict::Ran`].
     pub response: Option<Response<Body>>,
 }
@@ -47,6 +50,7 @@
             may_have_reached_upstream: true,
             free_slots: None,
             version: None,
+            notice: None,
             response: Some(response),
         }
     }
@@ -60,6 +64,7 @@
             may_have_reached_upstream: false,
             free_slots: None,
             version: None,
+            notice: None,
             response: None,
         }
     }
--- a/crates/lentilshunt-node/src/relay/upstream.rs
+++ b/crates/lentilshunt-node/src/relay/upstream.rs
@@ -5,6 +5,7 @@
 use hyper::http::HeaderValue;
 use lentilshunt_core::id::ServiceId;
 use lentilshunt_schema::peer::Phase;
+use rapidhash::v3::rapidhash_v3;
 
 /// Number of reports that may be missing before an older process may replace a silent one.
 const MISSING_REPORTS_BEFORE_REPLACEMENT: u32 = 2;
@@ -40,6 +41,24 @@
     pub received_at: Instant,
 }
 
+impl Upstream {
+    /// Returns a hash that identifies the process and its start.
+    #[must_use]
+    pub fn process_hash(&self) -> u64 {
+        let text = format!("{} {}", self.report.process, self.report.started_ms);
+        rapidhash_v3(text.as_bytes())
+    }
+
+    /// Returns whether the report of a process comes from this one.
+    ///
+    /// The start of a process that was found by its health check is unknown.
+    #[must_use]
+    pub fn is_same_process(&self, other: &Report) -> bool {
+        let own = &self.report;
+        own.process == other.process && (own.started_ms == other.started_ms || own.started_ms == 0)
+    }
+}
+
 /// Effect of a report.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
--- a/crates/lentilshunt-node/tests/relay/rate_limit.rs
+++ b/crates/lentilshunt-node/tests/relay/rate_limit.rs
@@ -3,9 +3,10 @@
 use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
+use lentilshunt_core::{membership::Phase, overload::Notice};
 use lentilshunt_node::relay::body::empty;
 
-use crate::fixture::{Node, call, nodes};
+use crate::fixture::{Node, call, nodes, report};
 
 /// Limit that upstreams name in responses to requests under `/limited/`, in requests per second.
 const LIMIT: usize = 10;
@@ -59,3 +60,31 @@
         assert!(slowest <= MAX_REFUSAL_TIME, "{slowest:?}");
     }
 }
+
+// A node that had restarted sent its upstream more than the limit that other nodes knew.
+#[tokio::test]
+async fn apply_notice_of_each_process() {
+    let nodes = nodes(1).await;
+    let executor = &nodes[0].executor;
+    let own = executor.notice().expect("an upstream");
+    let limited = |process| Notice {
+        process,
+        rate_limit: "10.0".parse().ok(),
+    };
+    executor.apply_notice(&limited(own.process + 1));
+    assert_eq!(executor.notice(), Some(own));
+    executor.apply_notice(&limited(own.process));
+    assert_eq!(executor.notice(), Some(limited(own.process)));
+    // The upstream itself says that it has no limit.
+    call(&nodes[0], "/free/", &[], empty()).await;
+    assert_eq!(executor.notice(), Some(own));
+    call(&nodes[0], "/limited/", &[], empty()).await;
+    assert_eq!(executor.notice(), Some(limited(own.process)));
+    // A refusal without a limit does not end it.
+    call(&nodes[0], "/full/", &[], empty()).await;
+    assert_eq!(executor.notice(), Some(limited(own.process)));
+    // Another process has not named a limit.
+    executor.apply_report(&report("p2", 1, Phase::Ready), Instant::now());
+    let rate_limit = executor.notice().map(|notice| notice.rate_limit);
+    assert_eq!(rate_limit, Some(None));
+}
