fix(relay): send nothing to an upstream after a response that says it leaves

Callers: an upstream may say in its responses that it leaves, before or without a report of it. It still got requests. Cause: only reports were read for the phase of an upstream, so the same state was learned late or not at all. Change: the header sets the phase that a report sets, draining, in the executor, which refuses calls from then on and publishes its record. An older report does not bring the process back. Notices carry the phase: nodes avoid the endpoint at once, and tell an executor that has restarted.

--- a/crates/lentilshunt-core/src/overload/notice.rs
+++ b/crates/lentilshunt-core/src/overload/notice.rs
@@ -18,6 +18,8 @@
     pub process: u64,
     /// Its rate limit, if it has one.
     pub rate_limit: Option<Rate>,
+    /// Whether it leaves and wants no further requests.
+    pub is_leaving: bool,
 }
 
 /// Notices of other upstreams that this node has received.
@@ -34,13 +36,23 @@
     }
 
     /// Records the notice in the reply of an instance; `None` if there was none.
+    ///
+    /// A process that leaves does not stay, even if a reply that was delayed does not say so.
     pub fn record(&mut self, instance: &str, notice: Option<Notice>) {
-        let notice = notice.filter(|notice| notice.rate_limit.is_some());
-        match notice {
+        let known = self.get(instance);
+        let is_same = |known: &Notice| notice.is_none_or(|notice| notice.process == known.process);
+        let leaving = known.filter(|known| known.is_leaving && is_same(known));
+        let notice = match (notice, leaving) {
+            (Some(notice), leaving) => Some(Notice {
+                is_leaving: notice.is_leaving || leaving.is_some(),
+                ..notice
+            }),
+            (None, leaving) => leaving,
+        };
+        match notice.filter(|notice| notice.rate_limit.is_some() || notice.is_leaving) {
             None => drop(self.by_instance.remove(instance)),
             Some(notice) => {
-                let is_known = self.by_instance.contains_key(instance);
-                if is_known || self.by_instance.len() < MAX_NOTICES {
+                if known.is_some() || self.by_instance.len() < MAX_NOTICES {
                     self.by_instance.insert(instance.to_owned(), notice);
                 }
             }
--- a/crates/lentilshunt-core/tests/overload/rate_limit.rs
+++ b/crates/lentilshunt-core/tests/overload/rate_limit.rs
@@ -135,6 +135,7 @@
     let limited = Notice {
         process: 1,
         rate_limit: Some(rate("5")),
+        is_leaving: false,
     };
     notices.record("n1", Some(limited));
     assert_eq!(notices.get("n1"), Some(limited));
@@ -146,3 +147,30 @@
     notices.record("n1", Some(unlimited));
     assert_eq!(notices.get("n1"), None);
 }
+
+// An upstream that leaves must not be used again because a delayed reply does not say so.
+#[test]
+fn record_notice_after_leaving() {
+    let mut notices = Notices::default();
+    let leaving = Notice {
+        process: 1,
+        rate_limit: None,
+        is_leaving: true,
+    };
+    let staying = Notice {
+        is_leaving: false,
+        ..leaving
+    };
+    notices.record("n1", Some(leaving));
+    notices.record("n1", Some(staying));
+    notices.record("n1", None);
+    assert_eq!(notices.get("n1"), Some(leaving));
+    notices.record(
+        "n1",
+        Some(Notice {
+            process: 2,
+            ..staying
+        }),
+    );
+    assert_eq!(notices.get("n1"), None);
+}
--- a/crates/lentilshunt-node/src/fleet/lifecycle.rs
+++ b/crates/lentilshunt-node/src/fleet/lifecycle.rs
@@ -133,6 +133,7 @@
     let peers = serve(listen.peers, handlers.inbound, &request_shutdown).await?;
     let readiness = Arc::new(Readiness::new(Arc::clone(&shared)));
     let mut tasks = vec![
+        tokio::spawn(Arc::clone(&handlers.reports).publish_departures()),
         serve(listen.reports, handlers.reports, &no_shutdown)
             .await?
             .task,
@@ -207,7 +208,7 @@
 struct Handlers {
     outbound: Arc<dyn Handler>,
     inbound: Arc<dyn Handler>,
-    reports: Arc<dyn Handler>,
+    reports: Arc<Reports>,
 }
 
 /// Further services of the listener for other nodes.
--- a/crates/lentilshunt-node/src/fleet/report.rs
+++ b/crates/lentilshunt-node/src/fleet/report.rs
@@ -99,6 +99,23 @@
         info!(self.shared.log, "upstream changed"; "upstream" => &report.process,
             "started_ms" => report.started_ms, "sequence" => report.sequence,
             "phase" => %report.phase, "slots" => report.slots);
+        self.publish(&report);
+    }
+
+    /// Publishes that the upstream leaves when one of its responses says so, until the executor is
+    /// dropped.
+    pub async fn publish_departures(self: Arc<Self>) {
+        let mut departures = self.executor.departures();
+        while departures.changed().await.is_ok() {
+            let report = departures.borrow_and_update().clone();
+            if let Some(report) = report {
+                self.publish(&report);
+            }
+        }
+    }
+
+    /// Publishes what a report says of the upstream.
+    fn publish(&self, report: &Report) {
         let announcement = Announcement {
             address: String::new(),
             connections: 0,
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -401,6 +401,9 @@
 /// An upstream never receives more calls than it has slots, so one that refuses
 /// a call or responds with a failure status is unhealthy.
 fn outcome(reply: &Reply) -> AttemptOutcome {
+    if reply.notice.is_some_and(|notice| notice.is_leaving) {
+        return AttemptOutcome::Draining;
+    }
     let has_refused = reply.verdict == Verdict::NotRun && reply.may_have_reached_upstream;
     let response = reply.response.as_ref();
     let has_failed =
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -22,7 +22,7 @@
 };
 use lentilshunt_schema::peer::Phase;
 use slog::{Level, Logger, info, warn};
-use tokio::time::timeout_at;
+use tokio::{sync::watch, time::timeout_at};
 
 use super::{
     Call, HeaderNames, LogLimiter, Notifier, Reply, Shared,
@@ -58,6 +58,8 @@
     upstream: ArcSwapOption<Upstream>,
     /// Held while a report is applied, so that an older report cannot replace a newer one.
     report_lock: Mutex<()>,
+    /// Report of the last upstream that has said in a response that it leaves.
+    departures: watch::Sender<Option<Report>>,
     gate: Arc<Gate>,
     pool: Pool,
     suspects: Arc<Suspects>,
@@ -92,6 +94,7 @@
             report_interval,
             upstream: ArcSwapOption::empty(),
             report_lock: Mutex::default(),
+            departures: watch::Sender::default(),
             gate: Arc::new(Gate::new(QUEUE_CAPACITY)),
             pool: Pool::new(CONNECT_TIMEOUT, IDLE_TIMEOUT),
             suspects,
@@ -130,6 +133,32 @@
         change
     }
 
+    /// Returns a receiver of the upstreams that say in a response that they leave.
+    ///
+    /// Those that report it are not included.
+    #[must_use]
+    pub fn departures(&self) -> watch::Receiver<Option<Report>> {
+        self.departures.subscribe()
+    }
+
+    /// Stops sending calls to a process that has said that it leaves, if it is the current one.
+    fn mark_leaving(&self, process_hash: u64, source: &'static str) {
+        let _guard = lock(&self.report_lock);
+        let Some(current) = self.upstream.load_full() else {
+            return;
+        };
+        if current.is_leaving() || current.process_hash() != process_hash {
+            return;
+        }
+        let leaving = current.leaving();
+        let report = leaving.report.clone();
+        self.upstream.store(Some(Arc::new(leaving)));
+        metrics::counter!("lentilshunt_departures_total", "source" => source).increment(1);
+        info!(self.log, "upstream leaves"; "upstream" => &report.process,
+            "sequence" => report.sequence, "source" => source);
+        self.departures.send_replace(Some(report));
+    }
+
     /// Returns whether the upstream has reported itself or was found by a health check.
     #[must_use]
     pub fn has_upstream(&self) -> bool {
@@ -203,17 +232,20 @@
     #[must_use]
     pub fn notice(&self) -> Option<Notice> {
         let upstream = self.upstream.load();
-        let process = upstream.as_deref()?.process_hash();
-        let rate_limit = self.gate.rate_limit();
+        let upstream = upstream.as_deref()?;
         Some(Notice {
-            process,
-            rate_limit,
+            process: upstream.process_hash(),
+            rate_limit: self.gate.rate_limit(),
+            is_leaving: upstream.is_leaving(),
         })
     }
 
     /// Applies what another node knows of the upstream, which this one may have learned before it
     /// restarted.
     pub fn apply_notice(&self, notice: &Notice) {
+        if notice.is_leaving {
+            self.mark_leaving(notice.process, "node");
+        }
         let upstream = self.upstream.load();
         let is_current = upstream
             .as_deref()
@@ -295,7 +327,7 @@
             }
             Err(_lost) => return self.handle_lost_connection(call).await,
         };
-        let reply = self.classify(call, response);
+        let reply = self.classify(call, &upstream, response);
         if reply.verdict == Verdict::Ran {
             self.suspects.clear(call.fingerprint, Instant::now());
             slot.record_response(call.kind());
@@ -396,7 +428,7 @@
 
     /// Converts a response of the upstream to a reply, and detects refusals and responses to
     /// another request.
-    fn classify(&self, call: &Call, mut response: Response<Body>) -> Reply {
+    fn classify(&self, call: &Call, upstream: &Upstream, mut response: Response<Body>) -> Reply {
         let headers = response.headers();
         // Status 421: the process at the address is not the one that reported itself.
         let has_not_run = headers.contains_key(&self.header_names.not_run)
@@ -407,7 +439,12 @@
         ) {
             return Reply::unknown(Reason::BadAnswer);
         }
-        self.observe_rate_limit(headers, has_not_run);
+        if response.status() != StatusCode::MISDIRECTED_REQUEST {
+            self.observe_rate_limit(headers, has_not_run);
+            if headers.contains_key(&self.header_names.leaving) {
+                self.mark_leaving(upstream.process_hash(), "response");
+            }
+        }
         if has_not_run {
             let reason = match response.status() {
                 StatusCode::MISDIRECTED_REQUEST => Reason::NotReady,
--- a/crates/lentilshunt-node/src/relay/header_names.rs
+++ b/crates/lentilshunt-node/src/relay/header_names.rs
@@ -24,4 +24,6 @@
     /// Requests per second that the upstream takes from all nodes together, as a decimal number;
     /// absent without a limit.
     pub rate_limit: HeaderName,
+    /// Present in a response when the upstream leaves and wants no further requests.
+    pub leaving: HeaderName,
 }
--- a/crates/lentilshunt-node/src/relay/inbound.rs
+++ b/crates/lentilshunt-node/src/relay/inbound.rs
@@ -87,8 +87,9 @@
             }
         };
         let notice = self.executor.notice();
-        // A caller that knows of a limit learns that it has ended.
-        let is_news = |notice: &Notice| notice.rate_limit.is_some() || known.is_some();
+        // A node that knows of a limit learns that it has ended.
+        let is_news =
+            |notice: &Notice| notice.rate_limit.is_some() || notice.is_leaving || known.is_some();
         let reply = Reply {
             notice: notice.filter(is_news),
             ..reply
--- a/crates/lentilshunt-node/src/relay/node_headers.rs
+++ b/crates/lentilshunt-node/src/relay/node_headers.rs
@@ -26,6 +26,8 @@
 const REPLY_HEADER: &str = "lentilshunt-reply";
 /// Header that carries what an upstream has said of itself, in calls and replies.
 const NOTICE_HEADER: &str = "lentilshunt-upstream";
+/// Encoding of an upstream that leaves.
+const LEAVING: &str = "leaving";
 /// Encoding of an absent value.
 const ABSENT: &str = "-";
 
@@ -138,7 +140,8 @@
 pub fn write_notice(notice: &Notice) -> Option<(&'static str, HeaderValue)> {
     let rate_limit = notice.rate_limit.map(|rate| rate.to_string());
     let rate_limit = rate_limit.as_deref().unwrap_or(ABSENT);
-    let text = format!("{:x} {rate_limit}", notice.process);
+    let leaving = if notice.is_leaving { LEAVING } else { ABSENT };
+    let text = format!("{:x} {rate_limit} {leaving}", notice.process);
     Some((NOTICE_HEADER, HeaderValue::try_from(text).ok()?))
 }
 
@@ -156,6 +159,7 @@
     Some(Notice {
         process,
         rate_limit,
+        is_leaving: parts.next() == Some(LEAVING),
     })
 }
 
--- a/crates/lentilshunt-node/src/relay/upstream.rs
+++ b/crates/lentilshunt-node/src/relay/upstream.rs
@@ -49,6 +49,20 @@
         rapidhash_v3(text.as_bytes())
     }
 
+    /// Returns whether the process has said that it leaves, or has left.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        phase_order(self.report.phase) >= phase_order(Phase::Draining)
+    }
+
+    /// Returns the upstream as one that has said that it leaves.
+    #[must_use]
+    pub fn leaving(&self) -> Self {
+        let mut upstream = self.clone();
+        upstream.report.phase = Phase::Draining;
+        upstream
+    }
+
     /// Returns whether the report of a process comes from this one.
     ///
     /// The start of a process that was found by its health check is unknown.
@@ -129,8 +143,8 @@
 
 /// Returns whether a report was sent before its process left, by a process whose start is unknown.
 ///
-/// A node that restarts may learn of an upstream by its deregistration, which does not contain the
-/// start, and get a delayed report of it afterwards. A process that has started again under the
+/// A node that restarts may learn of an upstream by its health check or its deregistration, which
+/// do not contain the start, and get a delayed report of it after it has said that it leaves. A process that has started again under the
 /// same id since cannot have sent that many reports yet.
 fn is_late_after_leaving(
     current: &Upstream,
@@ -138,7 +152,9 @@
     interval: Duration,
     now: Instant,
 ) -> bool {
-    let has_left = current.report.phase == Phase::Gone && current.report.started_ms == 0;
+    let is_behind = current.report.phase == Phase::Gone
+        || phase_order(report.phase) < phase_order(Phase::Draining);
+    let has_left = current.is_leaving() && is_behind && current.report.started_ms == 0;
     let since_leaving = now.saturating_duration_since(current.received_at);
     let earlier_reports = u32::try_from(report.sequence.saturating_sub(1)).unwrap_or(u32::MAX);
     let fastest = interval / REPORT_INTERVAL_TOLERANCE_DIVISOR;
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -156,6 +156,7 @@
             load: name("load"),
             not_run: name("not-run"),
             rate_limit: name("limit"),
+            leaving: name("leaving"),
         },
         retry_allowance: ArcSwap::from_pointee(FleetBudget {
             percent: 20,
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -58,6 +58,7 @@
 /// - `failing`: responds with status 500.
 /// - `slow`: responds after 20 s.
 /// - `limited`: names a limit of ten requests per second.
+/// - `leaving`: says that it leaves.
 /// - `foreign`: echoes the id of another request.
 #[derive(Debug, Default)]
 pub struct Upstream {
@@ -156,6 +157,9 @@
         if path.starts_with("/limited/") {
             headers.insert("limit", HeaderValue::from_static("10.0"));
         }
+        if path.starts_with("/leaving/") {
+            headers.insert("leaving", HeaderValue::from_static("1"));
+        }
         if let Some(echoed) = echoed {
             headers.insert("attempt", echoed);
         }
@@ -204,6 +208,7 @@
         load: HeaderName::from_static("load"),
         not_run: HeaderName::from_static("not-run"),
         rate_limit: HeaderName::from_static("limit"),
+        leaving: HeaderName::from_static("leaving"),
     }
 }
 
--- a/crates/lentilshunt-node/tests/relay/main.rs
+++ b/crates/lentilshunt-node/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod fetch;
 mod fixture;
 mod hostile;
+mod leaving;
 mod long_body;
 mod malformed;
 mod rate_limit;
--- a/crates/lentilshunt-node/tests/relay/rate_limit.rs
+++ b/crates/lentilshunt-node/tests/relay/rate_limit.rs
@@ -70,6 +70,7 @@
     let limited = |process| Notice {
         process,
         rate_limit: "10.0".parse().ok(),
+        is_leaving: false,
     };
     executor.apply_notice(&limited(own.process + 1));
     assert_eq!(executor.notice(), Some(own));
