--- a/crates/lentilshunt-node/src/fleet/domain/domain_store.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/domain_store.rs
@@ -148,7 +148,12 @@
         loop {
             match self.source(table) {
                 Source::Store => break,
-                Source::Wait(until) => sleep_until(until.into()).await,
+                Source::Wait(until) => {
+                    let wait = until.saturating_duration_since(Instant::now());
+                    info!(self.shared.log, "next poll put off after failures"; "table" => table,
+                        "after" => after, "wait_ms" => u64::try_from(wait.as_millis()).ok());
+                    sleep_until(until.into()).await;
+                }
                 Source::Reader(reader) => {
                     let timeout = FEED_POLL_TIMEOUT + RESPONSE_TIMEOUT;
                     match self.request_changes(reader, table, after, timeout).await {
@@ -258,7 +263,8 @@
         let bytes = self
             .pool
             .fetch(reader, request, response_deadline, max_body_bytes)
-            .await?;
+            .await?
+            .into_body();
         let response: FeedResponse = rmp_serde::from_slice(&bytes)?;
         let age = Duration::from_millis(response.age_ms);
         // The data of a table that is polled less often is older without a fault.
--- a/crates/lentilshunt-node/src/fleet/state_fetcher.rs
+++ b/crates/lentilshunt-node/src/fleet/state_fetcher.rs
@@ -92,7 +92,7 @@
             .fetch(node, request, response_deadline, max_body_bytes)
             .await
         {
-            Ok(bytes) => bytes,
+            Ok(response) => response.into_body(),
             Err(error) => {
                 warn!(log, "state request failed"; "node" => %node, "error" => %error);
                 return;
--- a/crates/lentilshunt-node/src/relay/fetch.rs
+++ b/crates/lentilshunt-node/src/relay/fetch.rs
@@ -58,7 +58,7 @@
 }
 
 impl Pool {
-    /// Sends a request and returns the body of a response with status 200.
+    /// Sends a request and returns a response with status 200, read completely.
     ///
     /// The response must begin by `response_deadline`. Its body of up to `max_body_bytes` may
     /// take any time as long as data keeps arriving.
@@ -73,21 +73,21 @@
         request: Request<Body>,
         response_deadline: Instant,
         max_body_bytes: usize,
-    ) -> Result<Bytes, Error> {
+    ) -> Result<Response<Bytes>, Error> {
         let sent = timeout_at(response_deadline.into(), self.send(address, request)).await;
         let response: Response<Body> = sent.ok().context(TimeoutSnafu)?.context(ExchangeSnafu)?;
         let status = response.status();
         if status != StatusCode::OK {
             return StatusSnafu { status }.fail();
         }
-        let mut body = response.into_body();
+        let (parts, mut body) = response.into_parts();
         let mut buffer = BytesMut::new();
         loop {
             let read = buffer.len();
             let frame_by = Instant::now() + FRAME_TIMEOUT;
             let frame = timeout_at(frame_by.into(), body.frame()).await;
             match frame.ok().context(StalledSnafu { read })? {
-                None => return Ok(buffer.freeze()),
+                None => return Ok(Response::from_parts(parts, buffer.freeze())),
                 Some(Err(_broken)) => return InterruptedSnafu { read }.fail(),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
--- a/crates/lentilshunt-node/tests/relay/fetch.rs
+++ b/crates/lentilshunt-node/tests/relay/fetch.rs
@@ -55,8 +55,8 @@
     let pool = Pool::new(Duration::from_millis(400), Duration::from_secs(5));
     let begin_by = Instant::now() + Duration::from_millis(500);
     let request = Request::new(empty());
-    let bytes = pool.fetch(address, request, begin_by, limit).await?;
-    Ok(bytes.len())
+    let response = pool.fetch(address, request, begin_by, limit).await?;
+    Ok(response.body().len())
 }
 
 #[tokio::test]
