test(fleet): show that polls of the store are put off after an outage

Cause: the pause after failed polls that is meant for nodes with a reader also holds back nodes without one, counts a compaction as a failure and outlasts a read of the table. Checked: both test commands.

--- a/crates/lentilshunt-core/tests/dissemination_readers.rs
+++ b/crates/lentilshunt-core/tests/dissemination_readers.rs
@@ -80,3 +80,14 @@
     readers.record_poll(TABLE);
     assert!(readers.may_poll_store(TABLE, now));
 }
+
+// Nodes without a reader put off their polls for seconds after an outage, and missed a change.
+#[test]
+fn source_without_candidates_after_failures() {
+    let now = Instant::now();
+    let mut readers = Readers::default();
+    for _ in 0..4 {
+        readers.record_failed_poll(TABLE, 0.5, now);
+    }
+    assert_eq!(readers.source(&[], "n9", TABLE, now), Source::Store);
+}
--- a/crates/lentilshunt-node/tests/fleet/domain.rs
+++ b/crates/lentilshunt-node/tests/fleet/domain.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use hyper::{Request, Response, body::Incoming};
+use lentilshunt_core::id::InstanceId;
 use lentilshunt_net::{BoxFuture, http::Shutdown};
 use lentilshunt_node::{
     fleet::{
@@ -13,8 +14,9 @@
     relay::{Directory, Handler, HeaderLimits, Pool, Server, body::Body},
 };
 use proptest::prelude::*;
+use tokio::time::Instant;
 
-use crate::{Store, TABLE, VersionCodec, changed, shared};
+use crate::{Store, TABLE, VersionCodec, changed, shared, unavailable};
 
 const MAX_APPLY_TIME: Duration = Duration::from_secs(3);
 
@@ -120,9 +122,13 @@
 
 /// Returns a domain store whose first reader has the address `reader`.
 fn domain_store(store: &Arc<Store>, reader: SocketAddr) -> DomainStore {
+    let local = shared().locality.instance.clone();
+    domain_store_with(store, vec![("n1".to_owned(), reader), (local, reader)])
+}
+
+/// Returns a domain store with the given nodes as readers, in order of preference.
+fn domain_store_with(store: &Arc<Store>, readers: Vec<(InstanceId, SocketAddr)>) -> DomainStore {
     let shared = shared();
-    let local = shared.locality.instance.clone();
-    let readers = vec![("n1".to_owned(), reader), (local, reader)];
     let directory = Directory::default().with_reader_candidates(readers);
     shared.directory.store(Arc::new(directory));
     let pool = Arc::new(Pool::new(
@@ -286,6 +292,57 @@
     assert_eq!(*store.reads.lock().unwrap(), 0);
 }
 
+// A node without a reader put off its polls after an outage and a compaction, and missed a change.
+#[tokio::test(start_paused = true)]
+async fn wait_for_changes_after_outage_without_reader() {
+    let store = Arc::new(Store::default());
+    let expected = changes(9, vec![changed("rules", "9")]);
+    let poll_results = [
+        Ok(expected.clone()),
+        Err(fleet::Error::Compacted { revision: 1 }),
+        Err(unavailable()),
+        Err(unavailable()),
+    ];
+    store.poll_results.lock().unwrap().extend(poll_results);
+    let domain_store = domain_store_with(&store, Vec::new());
+    let started_at = Instant::now();
+    for _ in 0..3 {
+        let polled = domain_store
+            .wait_for_changes(TABLE, 1, MAX_APPLY_TIME)
+            .await;
+        assert!(polled.is_err(), "{polled:?}");
+    }
+    domain_store.read(TABLE).await.expect("a snapshot");
+    let received = domain_store
+        .wait_for_changes(TABLE, 1, MAX_APPLY_TIME)
+        .await;
+    assert_eq!(received.expect("changes"), expected);
+    assert_eq!(started_at.elapsed(), Duration::ZERO);
+}
+
+// A node that has just read the table from the store must poll it at once.
+#[tokio::test]
+async fn wait_for_changes_after_failed_poll_and_read() {
+    let store = Arc::new(Store::default());
+    let expected = changes(9, vec![changed("rules", "9")]);
+    let poll_results = [Ok(expected.clone()), Err(unavailable())];
+    store.poll_results.lock().unwrap().extend(poll_results);
+    let unreachable = "127.0.0.1:1".parse().expect("an address");
+    let readers = vec![("n1".to_owned(), unreachable)];
+    let domain_store = domain_store_with(&store, readers);
+    let started_at = Instant::now();
+    let failed = domain_store
+        .wait_for_changes(TABLE, 1, MAX_APPLY_TIME)
+        .await;
+    assert!(failed.is_err(), "{failed:?}");
+    domain_store.read(TABLE).await.expect("a snapshot");
+    let received = domain_store
+        .wait_for_changes(TABLE, 1, MAX_APPLY_TIME)
+        .await;
+    assert_eq!(received.expect("changes"), expected);
+    assert!(started_at.elapsed() < Duration::from_millis(500));
+}
+
 // A version that the store does not deliver must be fetched from a node that has it in force.
 #[tokio::test]
 async fn fetch_state_of_newer_version() {
