fix(fleet): poll the store at once after an outage, a compaction or a read

Callers: after the store had been away and had come back, requests were handled by an older version more than two seconds after a newer one was confirmed. Cause: Readers pauses the polls of a node whose polls failed, 2 to 12 s, since a node of a large fleet has a reader to wait for. Nodes without a reader paused too; the notice that history is no longer kept counted as a failure; a successful read did not end the pause. Change: a node without candidates always polls the store, bounded by the pauses of watch_table; any response of the store ends the pause.

--- a/crates/lentilshunt-core/src/dissemination/readers.rs
+++ b/crates/lentilshunt-core/src/dissemination/readers.rs
@@ -59,6 +59,9 @@
         table: &str,
         now: Instant,
     ) -> Source {
+        if candidates.is_empty() {
+            return Source::Store;
+        }
         let readers = &candidates[..candidates.len().min(MAX_READERS)];
         let mut available = readers
             .iter()
@@ -93,8 +96,9 @@
         self.cooldowns.insert(reader, now + READER_COOLDOWN);
     }
 
-    /// Records that the store has responded to a poll of a table.
-    pub fn record_poll(&mut self, table: &str) {
+    /// Records that the store has responded to a poll or a read of a table, also if it no longer
+    /// keeps the requested changes.
+    pub fn record_response(&mut self, table: &str) {
         self.failed_polls.remove(table);
     }
 
--- a/crates/lentilshunt-core/tests/dissemination_readers.rs
+++ b/crates/lentilshunt-core/tests/dissemination_readers.rs
@@ -77,7 +77,7 @@
     readers.record_failed_poll(TABLE, 0.5, now);
     assert!(!readers.may_poll_store(TABLE, now));
     assert!(readers.may_poll_store("nodes", now));
-    readers.record_poll(TABLE);
+    readers.record_response(TABLE);
     assert!(readers.may_poll_store(TABLE, now));
 }
 
--- a/crates/lentilshunt-node/src/fleet/domain/domain_store.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/domain_store.rs
@@ -132,6 +132,7 @@
             }
         }
         let snapshot = self.store.read(table).await?;
+        lock(&self.readers).record_response(table);
         self.cache.replace(table, &snapshot, Duration::ZERO);
         if snapshot.rows.is_empty() {
             self.throttle.start_settle_pause(table);
@@ -172,9 +173,12 @@
         // The pause counts, as other nodes receive no newer data during it.
         let timeout = limit.map_or(timeout, |limit| timeout.min(limit.saturating_sub(paused)));
         match self.store.wait_for_changes(table, after, timeout).await {
-            Err(Error::Compacted { revision }) if has_candidates => {
-                let changes = self.catch_up(table, after).await;
-                changes.ok_or(Error::Compacted { revision })
+            Err(error @ Error::Compacted { .. }) => {
+                lock(&self.readers).record_response(table);
+                if !has_candidates {
+                    return Err(error);
+                }
+                self.catch_up(table, after).await.ok_or(error)
             }
             Err(error) => {
                 let random = rand::random();
@@ -182,7 +186,7 @@
                 Err(error)
             }
             Ok(changes) => {
-                lock(&self.readers).record_poll(table);
+                lock(&self.readers).record_response(table);
                 self.cache.apply(table, &changes, Duration::ZERO);
                 if !changes.changes.is_empty() {
                     self.throttle.start_pause(table);
