fix(fleet): tell positions of a restored store from those of its lost history

Callers: a confirmed change could stay unknown to a node, for as long as its poll waits, if its revision had been given out before. Cause: a revision was taken for a position in one history. After the store has come back from an older copy, a poll from a lost position is valid again once the numbers pass it, and skips what was written below it. The first poll after a failure does not wait. A restored table is marked as such, as it may lack changes.

--- a/crates/lentilshunt-core/src/dissemination/mod.rs
+++ b/crates/lentilshunt-core/src/dissemination/mod.rs
@@ -13,6 +13,7 @@
 mod link_class;
 mod poller;
 mod readers;
+mod revision;
 mod strategy;
 
 pub use action::{Action, PlatformRequest};
@@ -22,4 +23,5 @@
 pub use link_class::{LinkClass, REQUEST_OVERHEAD_BYTES, RESPONSE_OVERHEAD_BYTES};
 pub use poller::{MEMBER_PREFIX, Poller};
 pub use readers::{Readers, Source};
+pub use revision::Revision;
 pub use strategy::Strategy;
--- a/crates/lentilshunt-node/src/fleet/domain/domain_store.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/domain_store.rs
@@ -173,7 +173,7 @@
         // The pause counts, as other nodes receive no newer data during it.
         let timeout = limit.map_or(timeout, |limit| timeout.min(limit.saturating_sub(paused)));
         match self.store.wait_for_changes(table, after, timeout).await {
-            Err(error @ Error::Compacted { .. }) => {
+            Err(error @ (Error::Compacted { .. } | Error::Restored { .. })) => {
                 lock(&self.readers).record_response(table);
                 if !has_candidates {
                     return Err(error);
@@ -196,8 +196,8 @@
         }
     }
 
-    /// Requests changes that the store no longer keeps from the readers, which avoids
-    /// reading all rows from the store.
+    /// Requests changes that the store no longer keeps, or that it cannot tell after a restoration,
+    /// from the readers, which avoids reading all rows from the store.
     async fn catch_up(&self, table: &str, after: u64) -> Option<Changes> {
         // Gives the readers time to read the table again, as the store has compacted the
         // changes for them too.
--- a/crates/lentilshunt-node/src/fleet/installer.rs
+++ b/crates/lentilshunt-node/src/fleet/installer.rs
@@ -60,8 +60,8 @@
 
     /// Installs the rules in an update of the table, if it contains them.
     pub fn apply_update(&self, update: TableUpdate) {
-        let (TableUpdate::Full(changes) | TableUpdate::Incremental(changes)) = update;
-        let rules = changes
+        let rules = update
+            .into_changes()
             .into_iter()
             .rev()
             .find(|change| change.key == self.key);
--- a/crates/lentilshunt-node/src/fleet/mod.rs
+++ b/crates/lentilshunt-node/src/fleet/mod.rs
@@ -38,5 +38,5 @@
 pub use registration::Registration;
 pub use report::Reports;
 pub use state_fetcher::StateFetcher;
-pub use table_store::{Change, Changes, Error, Row, TableSnapshot, TableStore};
+pub use table_store::{Change, Changes, Error, RestoredSnafu, Row, TableSnapshot, TableStore};
 pub use watch::{Subscription, TableUpdate, watch_table};
--- a/crates/lentilshunt-node/src/fleet/node_registry.rs
+++ b/crates/lentilshunt-node/src/fleet/node_registry.rs
@@ -62,7 +62,7 @@
     /// Applies an update of the table and publishes the endpoints.
     pub fn apply_update(&mut self, update: TableUpdate) {
         let changes = match update {
-            TableUpdate::Full(changes) => {
+            TableUpdate::Full(changes) | TableUpdate::Restored(changes) => {
                 self.registrations.clear();
                 changes
             }
--- a/crates/lentilshunt-node/src/fleet/table_store.rs
+++ b/crates/lentilshunt-node/src/fleet/table_store.rs
@@ -22,6 +22,8 @@
     pub rows: Vec<Row>,
     /// Revision of the store at the read, to be passed to the next
     /// [`wait_for_changes`](TableStore::wait_for_changes).
+    ///
+    /// An encoded [`Revision`](lentilshunt_core::dissemination::Revision).
     pub revision: u64,
 }
 
@@ -54,6 +56,12 @@
         /// Requested revision.
         revision: u64,
     },
+    /// The store has come back from an older copy since a revision.
+    #[snafu(display("the store has been restored since revision {revision}"))]
+    Restored {
+        /// Requested revision.
+        revision: u64,
+    },
     /// The request failed, or its result is unknown.
     #[snafu(display("request to the store failed: {detail}"))]
     Unavailable {
@@ -75,7 +83,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Compacted`] when the table has to be read again, and
+    /// Returns [`Error::Compacted`] or [`Error::Restored`] when the table has to be read again, and
     /// [`Error::Unavailable`] when the store does not respond.
     fn wait_for_changes<'a>(
         &'a self,
--- a/crates/lentilshunt-node/src/fleet/watch.rs
+++ b/crates/lentilshunt-node/src/fleet/watch.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use lentilshunt_core::dissemination::Revision;
 use rand::RngExt;
 use slog::{Logger, info, warn};
 use tokio::time::sleep;
 
-use super::{Change, Error, TableStore};
+use super::{Change, Changes, Error, TableStore};
 use crate::relay::Shared;
 
 /// Time for a long poll to return a version that another node has in force.
@@ -29,12 +30,23 @@
 }
 
 /// Content that was read from a table.
-#[derive(Debug)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum TableUpdate {
     /// All rows; other rows no longer exist.
     Full(Vec<Change>),
     /// Rows that changed.
     Incremental(Vec<Change>),
+    /// All rows after the store has come back from an older copy, which may lack the newest changes.
+    Restored(Vec<Change>),
+}
+
+impl TableUpdate {
+    /// Returns the changes in the update.
+    #[must_use]
+    pub fn into_changes(self) -> Vec<Change> {
+        let (Self::Full(changes) | Self::Incremental(changes) | Self::Restored(changes)) = self;
+        changes
+    }
 }
 
 /// Reads a table and then its changes, and passes them to `apply`, until the returned
@@ -52,6 +64,7 @@
     let table = subscription.table;
     let mut backoff = INITIAL_BACKOFF;
     let mut is_available = true;
+    let mut revision = None;
     loop {
         let snapshot = match store.read(table).await {
             Ok(snapshot) => snapshot,
@@ -68,31 +81,41 @@
             key: row.key,
             value: Some(row.value),
         });
-        apply(TableUpdate::Full(all.collect()));
-        let mut revision = snapshot.revision;
+        let mut position = Revision::from(snapshot.revision);
+        apply(match revision {
+            Some(earlier) if position.is_restored_since(earlier) => {
+                TableUpdate::Restored(all.collect())
+            }
+            _ => TableUpdate::Full(all.collect()),
+        });
         let missed_version = missed_version(shared);
         tokio::pin!(missed_version);
         loop {
+            // The first response after a failure shows whether the store has been restored
+            // meanwhile. A long poll would wait in the new history from a position of the old one.
+            let poll_timeout = if is_available {
+                subscription.poll_timeout
+            } else {
+                Duration::ZERO
+            };
             let polled = tokio::select! {
-                polled = store.wait_for_changes(
-                    table,
-                    revision,
-                    subscription.poll_timeout,
-                ) => polled,
+                polled = store.wait_for_changes(table, position.into(), poll_timeout) => polled,
                 () = &mut missed_version => break,
             };
             match polled {
-                Ok(changes) => {
+                Ok(Changes { changes, revision }) => {
                     log_availability(log, table, &mut is_available, None);
                     backoff = INITIAL_BACKOFF;
-                    revision = changes.revision;
-                    if !changes.changes.is_empty() {
-                        apply(TableUpdate::Incremental(changes.changes));
+                    let earlier = std::mem::replace(&mut position, revision.into());
+                    if position.is_restored_since(earlier) {
+                        apply(TableUpdate::Restored(changes));
+                    } else if !changes.is_empty() {
+                        apply(TableUpdate::Incremental(changes));
                     }
                 }
-                Err(Error::Compacted { revision }) => {
-                    info!(log, "change history of the store is compacted, reading the table again";
-                        "table" => table, "revision" => revision);
+                Err(error @ (Error::Compacted { .. } | Error::Restored { .. })) => {
+                    info!(log, "changes cannot be told, reading the table again";
+                        "table" => table, "reason" => %error);
                     break;
                 }
                 Err(error) => {
@@ -102,6 +125,7 @@
                 }
             }
         }
+        revision = Some(position);
         // Spreads the reads, as many nodes may read the table again at the same time.
         sleep(jittered(INITIAL_BACKOFF)).await;
     }
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use hyper::header::HeaderName;
 use lentilshunt_core::{
+    dissemination::Revision,
     membership::{LocalRecord, Phase, Record},
     retry::FleetBudget,
     routing::Locality,
@@ -42,6 +43,9 @@
     failures: Mutex<u32>,
     reads: Mutex<u32>,
     writes: Mutex<u32>,
+    /// Restorations of the store so far.
+    restorations: Mutex<u16>,
+    poll_timeouts: Mutex<Vec<Duration>>,
 }
 
 fn unavailable() -> Error {
@@ -71,9 +75,13 @@
                 key: key.clone(),
                 value: value.clone(),
             });
+            let revision = Revision {
+                restorations: *self.restorations.lock().unwrap(),
+                number: 1,
+            };
             Ok(TableSnapshot {
                 rows: rows.collect(),
-                revision: 1,
+                revision: revision.into(),
             })
         })
     }
@@ -82,9 +90,10 @@
         &'a self,
         _table: &'a str,
         _revision: u64,
-        _timeout: Duration,
+        timeout: Duration,
     ) -> BoxFuture<'a, Result<Changes, Error>> {
-        Box::pin(async {
+        Box::pin(async move {
+            self.poll_timeouts.lock().unwrap().push(timeout);
             let next = self.poll_results.lock().unwrap().pop();
             match next {
                 Some(result) => result,
@@ -227,10 +236,8 @@
     let mut updates = Vec::new();
     let log = log();
     let watching = watch_table(&store, SUBSCRIPTION, None, &log, |update| {
-        updates.push(match update {
-            TableUpdate::Full(changes) => (true, changes),
-            TableUpdate::Incremental(changes) => (false, changes),
-        });
+        let is_full = matches!(update, TableUpdate::Full(_));
+        updates.push((is_full, update.into_changes()));
     });
     assert!(
         tokio::time::timeout(Duration::from_mins(1), watching)
@@ -346,3 +353,31 @@
     tokio::time::sleep(Duration::from_millis(10)).await;
     assert!(store.rows.lock().unwrap().is_empty());
 }
+
+// The first poll after a failure must not wait in the new history of a restored store.
+#[tokio::test(start_paused = true)]
+async fn watch_table_restored_in_outage() {
+    let store = Store::default();
+    let poll_results = [
+        Err(Error::Restored { revision: 1 }),
+        Err(unavailable()),
+        Err(unavailable()),
+    ];
+    store.poll_results.lock().unwrap().extend(poll_results);
+    let mut updates = Vec::new();
+    let log = log();
+    let watching = watch_table(&store, SUBSCRIPTION, None, &log, |update| {
+        updates.push(update);
+        *store.restorations.lock().unwrap() = 1;
+    });
+    let ended = tokio::time::timeout(Duration::from_mins(1), watching).await;
+    assert!(ended.is_err());
+    let expected = [
+        TableUpdate::Full(Vec::new()),
+        TableUpdate::Restored(Vec::new()),
+    ];
+    assert_eq!(updates, expected);
+    let usual = SUBSCRIPTION.poll_timeout;
+    let expected = [usual, Duration::ZERO, Duration::ZERO, usual];
+    assert_eq!(*store.poll_timeouts.lock().unwrap(), expected);
+}
