fix(fleet): keep and write again what a restored store has lost of the nodes

Callers: after the store had come back from an older copy, nodes that had registered since the copy were not used, and one whose upstream drained counted as ready again, until its owner wrote for another reason. Cause: a table that is read again replaced all that a node knew, and nothing compared a node's row with what it had written. Change: rows of a restored table do not replace a newer record of the same start of a node. A node that the table lacks stays in use for 2.5 s (membership::Missing). Each node writes its row again, or removes it, if the restored table differs from what it has written.

--- a/crates/lentilshunt-core/src/membership/mod.rs
+++ b/crates/lentilshunt-core/src/membership/mod.rs
@@ -13,6 +13,7 @@
 mod local_record;
 mod member;
 mod member_list;
+mod missing;
 mod rendezvous;
 mod view;
 
@@ -24,5 +25,6 @@
 pub use local_record::LocalRecord;
 pub use member::Member;
 pub use member_list::{ChangeKind, MemberList};
+pub use missing::Missing;
 pub use rendezvous::rendezvous_weight;
 pub use view::View;
--- a/crates/lentilshunt-node/src/fleet/lifecycle.rs
+++ b/crates/lentilshunt-node/src/fleet/lifecycle.rs
@@ -4,7 +4,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
@@ -27,13 +27,17 @@
 
 use super::{
     Cache, Codec, DomainStore, Feeds, Installer, Listing, NodeRegistry, NodeSettings, Publisher,
-    Readiness, Reports, StateFetcher, TableStore,
+    Readiness, Reports, Restoration, StateFetcher, TableStore,
     adoption::adopt_upstream,
     metrics::Metrics,
     watch::{Subscription, watch_table},
 };
-use crate::relay::{
-    Directory, Dispatcher, Executor, Handler, HeaderLimits, Inbound, Outbound, Pool, Server, Shared,
+use crate::{
+    executor::lock,
+    relay::{
+        Directory, Dispatcher, Executor, Handler, HeaderLimits, Inbound, Outbound, Pool, Server,
+        Shared,
+    },
 };
 
 /// Maximum time to connect to another node.
@@ -289,7 +293,7 @@
     let registry = NodeRegistry::new(Arc::clone(shared));
     let listing = registry.listing();
     [
-        tokio::spawn(publisher.run(records)),
+        tokio::spawn(publisher.run(records, registry.restorations())),
         tokio::spawn(watch_records(
             registry,
             Arc::clone(&store),
@@ -427,7 +431,7 @@
 }
 
 async fn watch_records(
-    mut registry: NodeRegistry,
+    registry: NodeRegistry,
     store: Arc<dyn TableStore>,
     table: String,
     log: Logger,
@@ -436,8 +440,27 @@
         table: &table,
         poll_timeout: RECORDS_POLL_TIMEOUT,
     };
-    watch_table(&*store, subscription, None, &log, |update| {
-        registry.apply_update(update);
-    })
-    .await;
+    let restorations = registry.restorations();
+    let registry = Mutex::new(registry);
+    let watching = watch_table(&*store, subscription, None, &log, |update| {
+        lock(&registry).apply_update(update, Instant::now());
+    });
+    tokio::select! {
+        () = watching => {}
+        () = remove_missing(&registry, restorations) => {}
+    }
+}
+
+/// Removes nodes that do not return after a restoration of the store, until the registry is dropped.
+async fn remove_missing(
+    registry: &Mutex<NodeRegistry>,
+    mut restorations: watch::Receiver<Restoration>,
+) {
+    while restorations.changed().await.is_ok() {
+        let mut next = lock(registry).remove_missing(Instant::now());
+        while let Some(deadline) = next {
+            sleep_until(deadline.into()).await;
+            next = lock(registry).remove_missing(Instant::now());
+        }
+    }
 }
--- a/crates/lentilshunt-node/src/fleet/mod.rs
+++ b/crates/lentilshunt-node/src/fleet/mod.rs
@@ -30,7 +30,7 @@
 pub use domain::{Cache, DomainStore, FeedResponse, Feeds, Patch, RowPatch, ValueHistory};
 pub use installer::Installer;
 pub use lifecycle::run;
-pub use node_registry::{Listing, NodeRegistry};
+pub use node_registry::{Listing, NodeRegistry, Restoration};
 pub use node_settings::{ListenAddresses, NodeSettings};
 pub use node_state::NodeState;
 pub use publisher::Publisher;
--- a/crates/lentilshunt-node/src/fleet/node_registry.rs
+++ b/crates/lentilshunt-node/src/fleet/node_registry.rs
@@ -1,10 +1,16 @@
 //! The nodes that are registered in the store.
 
-use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Instant,
+};
 
 use lentilshunt_core::{
     id::InstanceId,
-    membership::{View, rendezvous_weight},
+    membership::{Missing, Record, View, rendezvous_weight},
 };
 use slog::{info, warn};
 use tokio::sync::watch;
@@ -34,11 +40,20 @@
     WithReader,
 }
 
+/// What a store that has come back from an older copy lists of the local node.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Restoration {
+    /// Record of the local node in the restored table; `None` if the table lacks it.
+    pub own_record: Option<Record>,
+}
+
 /// Registrations of all nodes, from which the directory of endpoints is built.
 #[derive(Debug)]
 pub struct NodeRegistry {
     shared: Arc<Shared>,
     listing: watch::Sender<Listing>,
+    restorations: watch::Sender<Restoration>,
+    missing: Missing,
     registrations: BTreeMap<InstanceId, Registration>,
 }
 
@@ -49,6 +64,8 @@
         Self {
             shared,
             listing: watch::Sender::default(),
+            restorations: watch::Sender::default(),
+            missing: Missing::default(),
             registrations: BTreeMap::new(),
         }
     }
@@ -59,18 +76,79 @@
         self.listing.subscribe()
     }
 
+    /// Returns a receiver that is notified when the store has come back from an older copy.
+    #[must_use]
+    pub fn restorations(&self) -> watch::Receiver<Restoration> {
+        self.restorations.subscribe()
+    }
+
     /// Applies an update of the table and publishes the endpoints.
-    pub fn apply_update(&mut self, update: TableUpdate) {
-        let changes = match update {
-            TableUpdate::Full(changes) | TableUpdate::Restored(changes) => {
+    ///
+    /// A node that a restored table lacks stays in use for a while, in which it can write its row
+    /// again; see [`remove_missing`](Self::remove_missing).
+    pub fn apply_update(&mut self, update: TableUpdate, now: Instant) {
+        match update {
+            TableUpdate::Full(changes) => {
                 self.registrations.clear();
-                changes
+                self.missing = Missing::default();
+                self.apply_changes(changes);
             }
-            TableUpdate::Incremental(changes) => changes,
-        };
+            TableUpdate::Incremental(changes) => self.apply_changes(changes),
+            TableUpdate::Restored(changes) => self.apply_restored(changes, now),
+        }
+        self.publish_directory();
+    }
+
+    /// Removes the nodes that have been missing for too long since the store was restored, and
+    /// returns when to call this again.
+    pub fn remove_missing(&mut self, now: Instant) -> Option<Instant> {
+        let expired = self.missing.take_expired(now);
+        for instance in &expired {
+            self.registrations.remove(instance);
+            info!(self.shared.log, "node removed, it has not returned to the restored store";
+                "node" => instance);
+        }
+        if !expired.is_empty() {
+            self.publish_directory();
+        }
+        self.missing.next_deadline()
+    }
+
+    fn apply_changes(&mut self, changes: Vec<Change>) {
         for change in changes {
             self.apply_change(change);
         }
+    }
+
+    /// Applies all rows of a restored table, which may be older than what is known.
+    fn apply_restored(&mut self, changes: Vec<Change>, now: Instant) {
+        let present: Vec<_> = changes
+            .into_iter()
+            .filter(|change| change.value.is_some())
+            .collect();
+        let listed: BTreeSet<_> = present.iter().map(|change| change.key.clone()).collect();
+        let known = self.registrations.keys();
+        let missing: Vec<_> = known
+            .filter(|key| !listed.contains(*key))
+            .cloned()
+            .collect();
+        for instance in &missing {
+            self.missing.record(instance, now);
+        }
+        info!(self.shared.log, "table of nodes restored from an older copy";
+            "listed" => listed.len(), "missing" => missing.join(","));
+        let own = &self.shared.locality.instance;
+        let own_row = present.iter().find(|change| change.key == *own);
+        let own_value = own_row.and_then(|change| change.value.as_ref());
+        let own_record = own_value
+            .and_then(|value| rmp_serde::from_slice::<Registration>(value).ok())
+            .map(|registration| registration.record);
+        self.apply_changes(present);
+        self.restorations.send_replace(Restoration { own_record });
+    }
+
+    /// Publishes the endpoints of the registered nodes.
+    fn publish_directory(&self) {
         let records = self
             .registrations
             .values()
@@ -115,9 +193,18 @@
             .collect()
     }
 
+    /// Returns whether a node has since written a newer record, which the store has lost.
+    fn is_outdated(&self, record: &Record) -> bool {
+        let known = self.registrations.get(&record.instance);
+        known.is_some_and(|Registration { record: known, .. }| {
+            known.incarnation == record.incarnation && known.sequence > record.sequence
+        })
+    }
+
     fn apply_change(&mut self, change: Change) {
         let Change { key, value } = change;
         let log = &self.shared.log;
+        self.missing.resolve(&key);
         let Some(value) = value else {
             self.registrations.remove(&key);
             info!(log, "node removed"; "node" => key);
@@ -126,6 +213,11 @@
         match rmp_serde::from_slice::<Registration>(&value) {
             Ok(registration) if registration.record.instance == key => {
                 let record = &registration.record;
+                if self.is_outdated(record) {
+                    info!(log, "older row of a node ignored"; "node" => &key,
+                        "sequence" => record.sequence);
+                    return;
+                }
                 info!(log, "node registration received"; "node" => &key,
                     "address" => &record.address, "service" => &record.service,
                     "phase" => %record.phase);
--- a/crates/lentilshunt-node/src/fleet/publisher.rs
+++ b/crates/lentilshunt-node/src/fleet/publisher.rs
@@ -6,7 +6,7 @@
 use slog::{Logger, info, warn};
 use tokio::{sync::watch, time::sleep};
 
-use super::{Registration, TableStore};
+use super::{Registration, Restoration, TableStore};
 
 /// Initial pause after a write that was not confirmed.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
@@ -39,13 +39,18 @@
     /// Writes each new record until all senders of records are dropped.
     ///
     /// The row is removed when the upstream is gone. A write that is not
-    /// confirmed is repeated with the record that is then the newest.
-    pub async fn run(self, mut records: watch::Receiver<Option<Record>>) {
+    /// confirmed is repeated with the record that is then the newest. A record that a restored
+    /// store has lost is written again.
+    pub async fn run(
+        self,
+        mut records: watch::Receiver<Option<Record>>,
+        mut restorations: watch::Receiver<Restoration>,
+    ) {
         let mut backoff = INITIAL_BACKOFF;
         loop {
             let record = records.borrow_and_update().clone();
-            if let Some(record) = record {
-                if self.write(&record).await {
+            if let Some(record) = &record {
+                if self.write(record).await {
                     backoff = INITIAL_BACKOFF;
                 } else {
                     sleep(backoff).await;
@@ -54,8 +59,14 @@
                     continue;
                 }
             }
-            if records.changed().await.is_err() {
-                return;
+            tokio::select! {
+                changed = records.changed() => if changed.is_err() {
+                    return;
+                },
+                () = wait_for_loss(record.as_ref(), &mut restorations) => {
+                    metrics::counter!("lentilshunt_lost_records_total").increment(1);
+                    info!(self.log, "local record lost by the restored store, writing it again");
+                }
             }
         }
     }
@@ -87,3 +98,18 @@
         }
     }
 }
+
+/// Waits until the store comes back from a copy that does not contain the written record.
+async fn wait_for_loss(written: Option<&Record>, restorations: &mut watch::Receiver<Restoration>) {
+    // The row of an upstream that is gone has been removed.
+    let expected = written.filter(|record| record.phase != Phase::Gone);
+    loop {
+        if restorations.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+        let listed = restorations.borrow_and_update();
+        if written.is_some() && listed.own_record.as_ref() != expected {
+            return;
+        }
+    }
+}
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -6,7 +6,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwap;
@@ -23,7 +23,8 @@
 use lentilshunt_node::{
     fleet::{
         Change, Changes, Codec, DecodeError, Error, Installer, NodeRegistry, Publisher,
-        Registration, Row, Subscription, TableSnapshot, TableStore, TableUpdate, watch_table,
+        Registration, Restoration, Row, Subscription, TableSnapshot, TableStore, TableUpdate,
+        watch_table,
     },
     relay::{Directory, HeaderNames, Shared, upstream::Report},
 };
@@ -319,7 +320,7 @@
     };
     let draining = record("n2", Phase::Draining);
     let all = vec![row(&ready), changed("n9", "{}"), foreign, row(&draining)];
-    registry.apply_update(TableUpdate::Full(all));
+    registry.apply_update(TableUpdate::Full(all), Instant::now());
     let ready_instances = || -> Vec<String> {
         let directory = shared.directory.load();
         directory
@@ -333,7 +334,7 @@
         key: "n1".to_owned(),
         value: None,
     };
-    registry.apply_update(TableUpdate::Incremental(vec![removed]));
+    registry.apply_update(TableUpdate::Incremental(vec![removed]), Instant::now());
     assert!(ready_instances().is_empty());
 }
 
@@ -343,7 +344,8 @@
     *store.failures.lock().unwrap() = 3;
     let (sender, records) = watch::channel(None);
     let publisher = Publisher::new(Arc::clone(&store) as Arc<_>, TABLE.to_owned(), 100, log());
-    tokio::spawn(publisher.run(records));
+    let restorations = watch::Sender::new(Restoration::default());
+    tokio::spawn(publisher.run(records, restorations.subscribe()));
     sender.send_replace(Some(record("n0", Phase::Ready)));
     // The fourth write succeeds after less than two seconds of pauses.
     tokio::time::sleep(Duration::from_secs(2)).await;
@@ -381,3 +383,67 @@
     let expected = [usual, Duration::ZERO, Duration::ZERO, usual];
     assert_eq!(*store.poll_timeouts.lock().unwrap(), expected);
 }
+
+// A restored store must not bring back an upstream that drains, or hide nodes that live.
+#[test]
+fn apply_restored_table() {
+    let shared = shared();
+    let mut registry = NodeRegistry::new(Arc::clone(&shared));
+    let restorations = registry.restorations();
+    let record = |instance: &str, phase, sequence| Record {
+        sequence,
+        ..record(instance, phase)
+    };
+    let now = Instant::now();
+    let draining = record("n1", Phase::Draining, 3);
+    let all = ["n0", "n2", "n3"].map(|instance| row(&record(instance, Phase::Ready, 1)));
+    let all = all.into_iter().chain([row(&draining)]).collect();
+    registry.apply_update(TableUpdate::Full(all), now);
+    let ready_instances = || -> Vec<String> {
+        let directory = shared.directory.load();
+        let endpoints = directory.endpoints();
+        endpoints
+            .map(|endpoint| endpoint.instance.clone())
+            .collect()
+    };
+    let own = record("n0", Phase::Ready, 1);
+    let restored = vec![row(&record("n1", Phase::Ready, 2)), row(&own)];
+    registry.apply_update(TableUpdate::Restored(restored), now);
+    assert_eq!(ready_instances(), ["n0", "n2", "n3"]);
+    assert_eq!(restorations.borrow().own_record, Some(own));
+    // One of the missing nodes writes its row again.
+    let again = vec![row(&record("n2", Phase::Ready, 1))];
+    registry.apply_update(TableUpdate::Incremental(again), now);
+    let deadline = now + Duration::from_millis(2500);
+    let early = deadline
+        .checked_sub(Duration::from_millis(1))
+        .expect("an instant");
+    assert_eq!(registry.remove_missing(early), Some(deadline));
+    assert_eq!(registry.remove_missing(deadline), None);
+    assert_eq!(ready_instances(), ["n0", "n2"]);
+}
+
+// A record that a restored store had lost was never written again.
+#[tokio::test(start_paused = true)]
+async fn publish_again_after_restoration() {
+    let store = Arc::new(Store::default());
+    let (sender, records) = watch::channel(None);
+    let restored = watch::Sender::new(Restoration::default());
+    let publisher = Publisher::new(Arc::clone(&store) as Arc<_>, TABLE.to_owned(), 100, log());
+    tokio::spawn(publisher.run(records, restored.subscribe()));
+    let written_after = async |own_record: Option<Record>| {
+        restored.send_replace(Restoration { own_record });
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        *store.writes.lock().unwrap()
+    };
+    assert_eq!(written_after(None).await, 0);
+    let ready = record("n0", Phase::Ready);
+    sender.send_replace(Some(ready.clone()));
+    assert_eq!(written_after(Some(ready.clone())).await, 1);
+    assert_eq!(written_after(None).await, 2);
+    sender.send_replace(Some(record("n0", Phase::Gone)));
+    assert_eq!(written_after(None).await, 3);
+    // The copy still has the row of the upstream that is gone.
+    assert_eq!(written_after(Some(ready)).await, 4);
+    assert!(store.rows.lock().unwrap().is_empty());
+}
