fix(overload): refuse a request at once whose turn comes past its target latency

Callers: under rate limits, requests past their target latency were held until shortly before their deadline and then refused. Cause: they waited for a turn that requests still in time take before them. Change: only requests that are in time wait for a turn (Applicant::waits_for_turn); the others go on to the next upstream or back to their caller with retry-after.

--- a/crates/lentilshunt-core/src/overload/applicant.rs
+++ b/crates/lentilshunt-core/src/overload/applicant.rs
@@ -23,10 +23,8 @@
     pub kind: Kind,
     /// Instant at which the caller no longer waits for the response.
     pub deadline: Instant,
-    /// Whether the sender knows no other endpoint with a free slot.
-    ///
-    /// Only then does the request wait for its turn under a rate limit.
-    pub may_queue: bool,
+    /// Whether the request waits for its turn under a rate limit.
+    pub waits_for_turn: bool,
     /// Latest start, whatever the deadline; `None` if there is no such limit.
     pub starts_by: Option<Instant>,
 }
--- a/crates/lentilshunt-core/src/overload/patience.rs
+++ b/crates/lentilshunt-core/src/overload/patience.rs
@@ -8,6 +8,7 @@
     Brief,
     /// Until its target latency.
     UntilTarget,
-    /// Until its deadline, behind all others of its rank.
+    /// Until its deadline, behind all others of its rank, but not for a turn under a rate limit:
+    /// requests that are still in time would take it.
     UntilDeadline,
 }
--- a/crates/lentilshunt-core/src/overload/waiting.rs
+++ b/crates/lentilshunt-core/src/overload/waiting.rs
@@ -113,7 +113,7 @@
         let until = latest_start(applicant, run, now);
         let turn = self.rate_limit.start_at(self.count_ahead(applicant), now);
         let is_limited = turn > now;
-        if is_limited && (!applicant.may_queue || turn > until) {
+        if is_limited && (!applicant.waits_for_turn || turn > until) {
             return Admission::Refuse(Reason::RateLimited);
         }
         if now + self.expected_wait(applicant, now) > until {
--- a/crates/lentilshunt-core/tests/overload/rate_limit.rs
+++ b/crates/lentilshunt-core/tests/overload/rate_limit.rs
@@ -95,11 +95,11 @@
     waiting.resize(9);
     waiting.observe(LOOKUP, MILLISECOND * 100);
     waiting.rate_limit_mut().confirm(Some(rate("2")), now);
-    let request = |wanted_in, may_queue| Applicant {
+    let request = |wanted_in, waits_for_turn| Applicant {
         precedence: Precedence::with_deadline(now + wanted_in),
         kind: LOOKUP,
         deadline: now + MILLISECOND * 1500,
-        may_queue,
+        waits_for_turn,
         starts_by: None,
     };
     let patient = request(MILLISECOND * 800, true);
--- a/crates/lentilshunt-core/tests/overload/waiting.rs
+++ b/crates/lentilshunt-core/tests/overload/waiting.rs
@@ -20,7 +20,7 @@
         },
         kind,
         deadline,
-        may_queue: true,
+        waits_for_turn: true,
         starts_by: None,
     }
 }
--- a/crates/lentilshunt-fake/src/overload/caller.rs
+++ b/crates/lentilshunt-fake/src/overload/caller.rs
@@ -97,7 +97,7 @@
             },
             kind: self.class.kind,
             deadline: self.gives_up_at,
-            may_queue: true,
+            waits_for_turn: true,
             starts_by: None,
         }
     }
--- a/crates/lentilshunt-node/src/relay/call.rs
+++ b/crates/lentilshunt-node/src/relay/call.rs
@@ -115,7 +115,7 @@
                 },
             },
             kind: self.kind(),
-            may_queue: self.patience != Patience::Brief,
+            waits_for_turn: self.patience == Patience::UntilTarget,
             deadline: self.deadline,
             starts_by: self
                 .has_unread_body
--- a/crates/lentilshunt-node/tests/relay/rate_limit.rs
+++ b/crates/lentilshunt-node/tests/relay/rate_limit.rs
@@ -2,9 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use hyper::StatusCode;
-use lentilshunt_core::{membership::Phase, overload::Notice};
-use lentilshunt_node::relay::body::empty;
+use hyper::{HeaderMap, Method, StatusCode};
+use lentilshunt_core::{
+    membership::Phase,
+    overload::{Notice, Patience},
+};
+use lentilshunt_node::relay::{Call, body::empty, clock::Moment};
 
 use crate::fixture::{Node, call, nodes, report};
 
@@ -61,6 +64,38 @@
     }
 }
 
+// Requests past their target latency were held for a turn that others then took.
+#[test]
+fn applicant_of_each_patience() {
+    let now = Moment::now();
+    let call = Call {
+        request_id: "id-1".to_owned(),
+        service: "bales".into(),
+        caller: "bales".to_owned(),
+        method: Method::GET,
+        path: "/".to_owned(),
+        headers: HeaderMap::new(),
+        idempotent: true,
+        rank: 0,
+        arrived_at: now,
+        deadline: now.instant() + Duration::from_secs(2),
+        target_at: now.instant() + Duration::from_secs(1),
+        patience: Patience::Brief,
+        has_unread_body: false,
+        fingerprint: 0,
+    };
+    let waits_for_turn = |patience| {
+        let call = Call {
+            patience,
+            ..call.clone()
+        };
+        call.applicant().waits_for_turn
+    };
+    assert!(!waits_for_turn(Patience::Brief));
+    assert!(waits_for_turn(Patience::UntilTarget));
+    assert!(!waits_for_turn(Patience::UntilDeadline));
+}
+
 // A node that had restarted sent its upstream more than the limit that other nodes knew.
 #[tokio::test]
 async fn apply_notice_of_each_process() {
