test(relay): list that an abandoned request is read from the accept queue of its upstream

A request that was written to a connection that the upstream has not accepted yet is not withdrawn by closing it.

--- a/crates/lentilshunt-node/tests/relay/main.rs
+++ b/crates/lentilshunt-node/tests/relay/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the relay with nodes in one process and scripted upstreams.
 
+mod abandoned;
 mod call;
 mod fetch;
 mod fixture;
