feat(relay): start idempotent requests that are sent ahead on one connection

Change: relay::ahead finds requests as their bytes arrive and starts those that may run again; hyper still reads and writes. Checked: order, latency, a caller that leaves, a closing response, requests that run once; two property tests of the scanner.

--- a/crates/lentilshunt-node/src/relay/mod.rs
+++ b/crates/lentilshunt-node/src/relay/mod.rs
@@ -8,6 +8,7 @@
 //! | [`Executor`] | runs calls on the local upstream, or refuses them |
 //! | [`Pool`], [`Server`] | HTTP connections with streaming bodies |
 
+pub mod ahead;
 mod authentication;
 pub mod body;
 mod call;
--- a/crates/lentilshunt-node/src/relay/outbound.rs
+++ b/crates/lentilshunt-node/src/relay/outbound.rs
@@ -22,7 +22,7 @@
 
 use super::{
     Call, Dispatcher, Reply, Shared, authentication,
-    body::{Body, Payload, from_incoming, read_prefix, status_response},
+    body::{Body, Payload, empty, from_incoming, read_prefix, status_response},
     clock::Moment,
     dispatcher::Progress,
     expiring,
@@ -77,7 +77,7 @@
         }
     }
 
-    async fn handle_request(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn handle_request(&self, request: Request<Body>) -> Response<Body> {
         let arrived_at = Moment::now();
         let id = header_text(
             request.headers(),
@@ -113,7 +113,7 @@
     /// Parses a request and matches it with the active traffic rules.
     async fn parse(
         &self,
-        request: Request<Incoming>,
+        request: Request<Body>,
         arrived_at: Moment,
         id: &str,
     ) -> Result<ParsedRequest, Reason> {
@@ -160,7 +160,7 @@
             .record_and_estimate(&route.name, timeout);
         let payload = match timeout_at(
             deadline.into(),
-            read_prefix(from_incoming(body), MAX_BUFFERED_REQUEST_BYTES),
+            read_prefix(body, MAX_BUFFERED_REQUEST_BYTES),
         )
         .await
         {
@@ -254,7 +254,25 @@
 
 impl Handler for Outbound {
     fn handle(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<Body>> {
-        Box::pin(self.handle_request(request))
+        Box::pin(self.handle_request(request.map(from_incoming)))
+    }
+
+    fn starts_early(&self) -> bool {
+        true
+    }
+
+    /// Handles a request on an idempotent route; a caller sends others again if their turn does not
+    /// come, and they would run twice.
+    fn handle_early(
+        self: Arc<Self>,
+        request: Request<()>,
+    ) -> Option<BoxFuture<'static, Response<Body>>> {
+        let rules = self.shared.rules.load();
+        let host = header_text(request.headers(), HOST.as_str());
+        let host = request.uri().host().unwrap_or(&host);
+        let route = rules.find(host, request.uri().path())?;
+        let request = route.idempotent.then(|| request.map(|()| empty()))?;
+        Some(Box::pin(async move { self.handle_request(request).await }))
     }
 }
 
--- a/crates/lentilshunt-node/src/relay/server.rs
+++ b/crates/lentilshunt-node/src/relay/server.rs
@@ -14,7 +14,7 @@
 
 use futures_util::FutureExt;
 use hyper::{
-    Request, Response,
+    Request, Response, StatusCode,
     body::Incoming,
     header::{CONNECTION, HeaderValue},
     server::conn::http1,
@@ -22,10 +22,17 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use lentilshunt_net::{BoxFuture, http::Shutdown};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::{TcpListener, TcpStream},
+};
 use tokio_util::task::TaskTracker;
 
-use super::{body::Body, pool::configure_socket};
+use super::{
+    ahead::{Queue, Reader},
+    body::{Body, status_response},
+    pool::configure_socket,
+};
 
 /// Delay after a failed accept, for example without free file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -41,6 +48,21 @@
     ///
     /// The future is dropped when the client closes its connection.
     fn handle(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<Body>>;
+
+    /// Returns whether requests may start before earlier ones of their connection are answered.
+    fn starts_early(&self) -> bool {
+        false
+    }
+
+    /// Handles a request without a body before its turn, or returns `None` if it must wait for it.
+    ///
+    /// The client may send a request again whose turn does not come.
+    fn handle_early(
+        self: Arc<Self>,
+        _request: Request<()>,
+    ) -> Option<BoxFuture<'static, Response<Body>>> {
+        None
+    }
 }
 
 /// Address of the client, stored in the extensions of a request.
@@ -64,6 +86,8 @@
     limits: HeaderLimits,
     in_flight: Arc<AtomicUsize>,
     received: Arc<AtomicUsize>,
+    /// Requests that have started before their turn.
+    early: Arc<AtomicUsize>,
 }
 
 impl Server {
@@ -84,6 +108,7 @@
             limits,
             in_flight: Arc::default(),
             received: Arc::default(),
+            early: Arc::default(),
         })
     }
 
@@ -123,6 +148,7 @@
                 limits: self.limits,
                 in_flight: Arc::clone(&self.in_flight),
                 received: Arc::clone(&self.received),
+                early: Arc::clone(&self.early),
             };
             connections.spawn(serve_connection(accepted, shutdown.clone()));
         };
@@ -171,6 +197,7 @@
     limits: HeaderLimits,
     in_flight: Arc<AtomicUsize>,
     received: Arc<AtomicUsize>,
+    early: Arc<AtomicUsize>,
 }
 
 async fn serve_connection(accepted: Accepted, shutdown: Shutdown) {
@@ -181,21 +208,87 @@
         limits,
         in_flight,
         received,
+        early,
     } = accepted;
     if configure_socket(&stream).is_err() {
         return;
     }
+    let exchange = Exchange {
+        client,
+        handler,
+        in_flight,
+        received,
+        queue: None,
+    };
+    if !exchange.handler.starts_early() {
+        return serve_stream(stream, exchange, limits, shutdown).await;
+    }
+    let handler = Arc::clone(&exchange.handler);
+    let queue = Arc::new(Queue::new(
+        handler,
+        client,
+        shutdown.draining.clone(),
+        early,
+    ));
+    let (reader, stream) = Reader::split(stream, limits.max_header_bytes, Arc::clone(&queue));
+    let exchange = Exchange {
+        queue: Some(queue),
+        ..exchange
+    };
+    tokio::select! {
+        biased;
+        () = serve_stream(stream, exchange, limits, shutdown) => {}
+        () = reader.run() => {}
+    }
+}
+
+/// What the requests of one connection have in common.
+struct Exchange {
+    client: ClientAddress,
+    handler: Arc<dyn Handler>,
+    in_flight: Arc<AtomicUsize>,
+    received: Arc<AtomicUsize>,
+    /// Requests that were read ahead, if any may start early.
+    queue: Option<Arc<Queue>>,
+}
+
+impl Exchange {
+    /// Handles a request, or waits for the response if it was started before its turn.
+    async fn respond(&self, mut request: Request<Incoming>) -> Response<Body> {
+        let Some(queue) = &self.queue else {
+            request.extensions_mut().insert(self.client);
+            return self.handler.handle(request).await;
+        };
+        let early = queue.take(&request);
+        request.extensions_mut().insert(self.client);
+        let response = match early {
+            Some(early) => early
+                .response()
+                .await
+                .unwrap_or_else(|| status_response(StatusCode::BAD_GATEWAY)),
+            None => self.handler.handle(request).await,
+        };
+        queue.record_answer();
+        response
+    }
+}
+
+async fn serve_stream<S: AsyncRead + AsyncWrite + Unpin>(
+    stream: S,
+    exchange: Exchange,
+    limits: HeaderLimits,
+    shutdown: Shutdown,
+) {
     let has_request = AtomicBool::new(false);
-    let service = service_fn(|mut request: Request<Incoming>| {
+    let exchange = &exchange;
+    let service = service_fn(|request: Request<Incoming>| {
         has_request.store(true, Ordering::Relaxed);
-        request.extensions_mut().insert(client);
-        let handler = Arc::clone(&handler);
         let draining = &shutdown.draining;
-        let guard = InFlightGuard::new(&in_flight);
-        received.fetch_add(1, Ordering::Relaxed);
+        let guard = InFlightGuard::new(&exchange.in_flight);
+        exchange.received.fetch_add(1, Ordering::Relaxed);
         async move {
             let _guard = guard;
-            let mut response = handler.handle(request).await;
+            let mut response = exchange.respond(request).await;
             if draining.is_cancelled() {
                 let headers = response.headers_mut();
                 headers.insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -56,6 +56,7 @@
 /// - `expired`: responds with status 504.
 /// - `mixed`, with the header `fail-first`: one upstream fails, all others refuse.
 /// - `failing`: responds with status 500.
+/// - `paced`: responds after 100 ms.
 /// - `slow`: responds after 20 s.
 /// - `limited`: names a limit of ten requests per second.
 /// - `leaving`: says that it leaves.
@@ -139,6 +140,10 @@
                 *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
                 response
             }
+            "paced" => {
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                Response::new(full(format!("response to {path}")))
+            }
             "slow" => {
                 tokio::time::sleep(Duration::from_secs(20)).await;
                 Response::new(full("slow"))
--- a/crates/lentilshunt-node/tests/relay/main.rs
+++ b/crates/lentilshunt-node/tests/relay/main.rs
@@ -9,6 +9,7 @@
 mod long_body;
 mod malformed;
 mod organisation;
+mod pipelined;
 mod rate_limit;
 mod raw_upstream;
 mod restart;
