feat(quota): bind the quotas of organisations over the whole fleet

Change: nodes report what they admit to one accountant, which keeps a token bucket an organisation and answers with the share that may pass where tokens are short; without it a node has its own part. 429 beyond.

--- a/crates/lentilshunt-core/src/lib.rs
+++ b/crates/lentilshunt-core/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`admission`] | concurrency limit and request queue of an upstream |
 //! | [`overload`] | what waits, is refused and is attempted again under load |
 //! | [`organisation`] | organisations, their keys and their quotas |
+//! | [`quota`] | requests that organisations may send to all nodes together |
 //! | [`execution`] | state of each non-idempotent request on the executing node |
 //! | [`claim`] | deduplication of repeated non-idempotent requests by idempotency key |
 //! | [`traffic`] | matching of requests to services, and limits of callers |
@@ -34,6 +35,7 @@
 pub mod organisation;
 pub mod overload;
 pub mod quarantine;
+pub mod quota;
 pub mod retry;
 pub mod routing;
 pub mod traffic;
--- a/crates/lentilshunt-core/src/organisation/directory.rs
+++ b/crates/lentilshunt-core/src/organisation/directory.rs
@@ -85,9 +85,8 @@
         };
         match self.holders.get(&hash(&self.secret, key)) {
             Some(Some(organisation)) => Identity::Known(Arc::clone(organisation)),
-            Some(None) => Identity::Undecidable,
             None if self.problems.is_empty() => Identity::Unknown,
-            None => Identity::Undecidable,
+            Some(None) | None => Identity::Undecidable,
         }
     }
 
--- a/crates/lentilshunt-core/src/overload/refusal.rs
+++ b/crates/lentilshunt-core/src/overload/refusal.rs
@@ -45,7 +45,11 @@
     fn is_overload(&self) -> bool {
         matches!(
             self.reason,
-            Reason::NoRoom | Reason::QueueFull | Reason::Deadline | Reason::RateLimited
+            Reason::NoRoom
+                | Reason::QueueFull
+                | Reason::Deadline
+                | Reason::RateLimited
+                | Reason::OverQuota
         )
     }
 }
--- a/crates/lentilshunt-node/src/fleet/lifecycle.rs
+++ b/crates/lentilshunt-node/src/fleet/lifecycle.rs
@@ -34,6 +34,7 @@
 };
 use crate::{
     executor::lock,
+    quota::{Accountant, Meter, Reporter},
     relay::{
         Directory, Dispatcher, Executor, Handler, HeaderLimits, Inbound, Outbound, Pool, Server,
         Shared,
@@ -121,12 +122,15 @@
     let installer = Arc::new(installer);
     let feeds = Arc::new(Feeds::new(Arc::clone(&cache), Arc::clone(&installer)));
     let refuse_calls = CancellationToken::new();
+    let accountant = Arc::new(Accountant::new(Arc::clone(&shared)));
+    let meter = Arc::<Meter>::default();
     let peer_services = PeerServices {
         feeds,
+        accountant: Arc::clone(&accountant),
         refuse_calls: refuse_calls.clone(),
     };
     let (handlers, executor, records) =
-        build_handlers(&settings, &shared, &codec, peer_services, &pool);
+        build_handlers(&settings, &shared, &codec, peer_services, &pool, &meter);
     let request_shutdown = Shutdown {
         draining: stop.clone(),
         closed: CancellationToken::new(),
@@ -153,6 +157,8 @@
         Arc::clone(&pool),
     );
     tasks.push(tokio::spawn(state_fetcher.run()));
+    let reporter = Reporter::new(Arc::clone(&shared), meter, accountant, Arc::clone(&pool));
+    tasks.push(tokio::spawn(reporter.run()));
     tasks.push(tokio::spawn(adopt_upstream(Arc::clone(&shared), executor)));
     let domain_store = DomainStore::new(
         store,
@@ -218,6 +224,7 @@
 /// Further services of the listener for other nodes.
 struct PeerServices {
     feeds: Arc<Feeds>,
+    accountant: Arc<Accountant>,
     /// Cancelled when calls of other nodes are no longer accepted.
     refuse_calls: CancellationToken,
 }
@@ -229,6 +236,7 @@
     codec: &Arc<dyn Codec>,
     peer_services: PeerServices,
     pool: &Arc<Pool>,
+    meter: &Arc<Meter>,
 ) -> (Handlers, Arc<Executor>, watch::Receiver<Option<Record>>) {
     let suspects = Arc::new(Suspects::new(Instant::now()));
     let executor = Arc::new(Executor::new(
@@ -244,12 +252,13 @@
         Arc::clone(&suspects),
         Arc::clone(pool),
     );
-    let outbound = Outbound::new(Arc::clone(shared), Arc::new(dispatcher));
+    let outbound = Outbound::new(Arc::clone(shared), Arc::new(dispatcher), Arc::clone(meter));
     let inbound = Inbound::new(
         Arc::clone(shared),
         Arc::clone(&executor),
         suspects,
         settings.listen.peers.port(),
+        peer_services.accountant,
         peer_services.feeds,
         peer_services.refuse_calls,
     );
--- a/crates/lentilshunt-node/src/fleet/node_registry.rs
+++ b/crates/lentilshunt-node/src/fleet/node_registry.rs
@@ -25,6 +25,8 @@
 const MIN_SHARED_READ_NODES: usize = 6;
 /// Rendezvous key of the reader, which decides between links of equal bandwidth.
 const READER_ROLE: &str = "reader";
+/// Rendezvous key of the node that keeps the accounts of quotas.
+const ACCOUNTANT_ROLE: &str = "accountant";
 
 /// What is known of the registered nodes.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -161,7 +163,9 @@
             (false, true) => Listing::WithoutReader,
             (false, false) => Listing::WithReader,
         };
-        let directory = directory.with_reader_candidates(candidates);
+        let directory = directory
+            .with_reader_candidates(candidates)
+            .with_accountants(by_preference(self.registrations.values(), ACCOUNTANT_ROLE));
         self.shared.directory.store(Arc::new(directory));
         self.listing.send_replace(listing);
     }
@@ -169,28 +173,16 @@
     /// Returns the nodes of the local failure domain in the order in which they are
     /// chosen as reader of the store, or none if each node reads the store itself.
     ///
-    /// A link of high bandwidth is preferred, since it carries all that the reader
-    /// reads and sends.
+    /// The link of a reader carries all that it reads and sends.
     fn reader_candidates(&self) -> Vec<(InstanceId, SocketAddr)> {
         let domain = &self.shared.locality.domain;
-        let mut candidates: Vec<_> = self
-            .registrations
-            .values()
-            .filter(|registration| registration.record.domain == *domain)
-            .collect();
+        let local = self.registrations.values();
+        let local = local.filter(|registration| registration.record.domain == *domain);
+        let candidates = by_preference(local, READER_ROLE);
         if candidates.len() < MIN_SHARED_READ_NODES {
             return Vec::new();
         }
-        candidates.sort_by_key(|registration| {
-            let rendezvous_weight = rendezvous_weight(&registration.record.instance, READER_ROLE);
-            Reverse((registration.link_mbps, rendezvous_weight))
-        });
         candidates
-            .into_iter()
-            .filter_map(|Registration { record, .. }| {
-                Some((record.instance.clone(), record.address.parse().ok()?))
-            })
-            .collect()
     }
 
     /// Returns whether a node has since written a newer record, which the store has lost.
@@ -234,3 +226,23 @@
         }
     }
 }
+
+/// Returns nodes in the order in which they are chosen for a role.
+///
+/// A link of high bandwidth is preferred.
+fn by_preference<'a>(
+    registrations: impl Iterator<Item = &'a Registration>,
+    role: &str,
+) -> Vec<(InstanceId, SocketAddr)> {
+    let mut candidates: Vec<_> = registrations.collect();
+    candidates.sort_by_key(|registration| {
+        let rendezvous_weight = rendezvous_weight(&registration.record.instance, role);
+        Reverse((registration.link_mbps, rendezvous_weight))
+    });
+    candidates
+        .into_iter()
+        .filter_map(|Registration { record, .. }| {
+            Some((record.instance.clone(), record.address.parse().ok()?))
+        })
+        .collect()
+}
--- a/crates/lentilshunt-node/src/lib.rs
+++ b/crates/lentilshunt-node/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod fleet;
 pub mod lifecycle;
 pub mod peer;
+pub mod quota;
 pub mod relay;
--- a/crates/lentilshunt-node/src/relay/ahead/buffer.rs
+++ b/crates/lentilshunt-node/src/relay/ahead/buffer.rs
@@ -79,7 +79,7 @@
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        target: &mut ReadBuf<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let mut state = lock(&self.buffer.0);
         if state.bytes.is_empty() {
@@ -89,8 +89,8 @@
             state.reader = Some(cx.waker().clone());
             return Poll::Pending;
         }
-        let count = state.bytes.len().min(target.remaining());
-        target.put_slice(&state.bytes[..count]);
+        let count = state.bytes.len().min(buf.remaining());
+        buf.put_slice(&state.bytes[..count]);
         state.bytes.advance(count);
         if let Some(writer) = state.writer.take() {
             writer.wake();
@@ -103,17 +103,17 @@
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        bytes: &[u8],
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.write).poll_write(cx, bytes)
+        Pin::new(&mut self.write).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
+        bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.write).poll_write_vectored(cx, slices)
+        Pin::new(&mut self.write).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/lentilshunt-node/src/relay/ahead/reader.rs
+++ b/crates/lentilshunt-node/src/relay/ahead/reader.rs
@@ -58,7 +58,7 @@
         }
         if self.queue.is_answered() {
             self.buffer.end();
-            std::future::pending().await
+            std::future::pending::<()>().await;
         }
     }
 }
--- a/crates/lentilshunt-node/src/relay/inbound.rs
+++ b/crates/lentilshunt-node/src/relay/inbound.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Instant};
 
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response, StatusCode, body::Incoming};
 use lentilshunt_core::{
     overload::Notice,
     quarantine::{Suspects, decode},
@@ -12,9 +12,11 @@
 use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 
+use crate::quota::Accountant;
+
 use super::{
     Call, Executor, Reply, Shared,
-    body::{Body, Payload, empty, from_incoming, read_prefix},
+    body::{Body, Payload, empty, from_incoming, full, read_prefix, status_response},
     node_headers::{read_call, read_notice, write_reply},
     outbound::MAX_BUFFERED_REQUEST_BYTES,
     server::{ClientAddress, Handler},
@@ -34,6 +36,7 @@
     executor: Arc<Executor>,
     suspects: Arc<Suspects>,
     peer_port: u16,
+    accountant: Arc<Accountant>,
     fallback: Arc<dyn Handler>,
     refuse_calls: CancellationToken,
 }
@@ -50,6 +53,7 @@
         executor: Arc<Executor>,
         suspects: Arc<Suspects>,
         peer_port: u16,
+        accountant: Arc<Accountant>,
         fallback: Arc<dyn Handler>,
         refuse_calls: CancellationToken,
     ) -> Self {
@@ -58,6 +62,7 @@
             executor,
             suspects,
             peer_port,
+            accountant,
             fallback,
             refuse_calls,
         }
@@ -112,10 +117,27 @@
             }
             return Response::new(empty());
         }
+        if request.uri().path() == Accountant::PATH {
+            return self.settle(request).await;
+        }
         self.fallback.handle(request).await
     }
 }
 
+impl Inbound {
+    /// Settles the report of a node on the quotas that it has used.
+    async fn settle(&self, request: Request<Incoming>) -> Response<Body> {
+        let body = read_prefix(from_incoming(request.into_body()), Accountant::MAX_BYTES).await;
+        let Ok(Payload::Buffered(report)) = body else {
+            return status_response(StatusCode::BAD_REQUEST);
+        };
+        match self.accountant.settle_encoded(&report) {
+            Some(reply) => Response::new(full(reply)),
+            None => status_response(StatusCode::BAD_REQUEST),
+        }
+    }
+}
+
 /// Returns the body of a call, read completely unless it is a long one.
 ///
 /// Only then does the node notice while the call waits that its caller has left.
--- a/crates/lentilshunt-node/src/relay/outbound.rs
+++ b/crates/lentilshunt-node/src/relay/outbound.rs
@@ -11,6 +11,7 @@
     header::{CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER},
 };
 use lentilshunt_core::{
+    organisation::Organisation,
     overload::{Kind, Patience, Refusal},
     quarantine::fingerprint,
     traffic::Route,
@@ -32,6 +33,7 @@
     server::Handler,
     wait_estimator::WaitEstimator,
 };
+use crate::quota::Meter;
 
 /// Maximum size of a request body that is buffered for retries, in bytes.
 pub(super) const MAX_BUFFERED_REQUEST_BYTES: usize = 64 * 1024;
@@ -52,6 +54,7 @@
 pub struct Outbound {
     shared: Arc<Shared>,
     dispatcher: Arc<Dispatcher>,
+    meter: Arc<Meter>,
     wait_estimator: WaitEstimator,
     log_limiter: LogLimiter,
 }
@@ -63,15 +66,18 @@
     route: Arc<Route>,
     /// Timeout of the request: that of the caller, or the default.
     requested_timeout: Duration,
+    /// Organisation whose quota the request has used.
+    organisation: Option<Arc<Organisation>>,
 }
 
 impl Outbound {
-    /// Creates the handler.
+    /// Creates the handler; `meter` admits requests by quotas.
     #[must_use]
-    pub fn new(shared: Arc<Shared>, dispatcher: Arc<Dispatcher>) -> Self {
+    pub fn new(shared: Arc<Shared>, dispatcher: Arc<Dispatcher>, meter: Arc<Meter>) -> Self {
         Self {
             shared,
             dispatcher,
+            meter,
             wait_estimator: WaitEstimator::default(),
             log_limiter: LogLimiter::new(),
         }
@@ -91,6 +97,7 @@
                 payload,
                 route,
                 requested_timeout,
+                organisation,
             }) => {
                 progress.is_past_target = call.is_past_target();
                 progress.requested_timeout_ms =
@@ -100,6 +107,11 @@
                     .dispatch(&call, payload, route.max_upstream_attempts, &mut progress)
                     .await;
                 remaining = call.remaining();
+                if reply.verdict == Verdict::NotRun
+                    && let Some(organisation) = &organisation
+                {
+                    self.meter.refund(organisation);
+                }
                 (Some(route), reply)
             }
             Err(reason) => (None, Reply::refused(reason)),
@@ -149,6 +161,12 @@
             }
             None => None,
         };
+        if let Some(organisation) = &organisation {
+            let node_count = self.shared.directory.load().node_count();
+            if !self.meter.admit(organisation, node_count) {
+                return Err(Reason::OverQuota);
+            }
+        }
         let length = parts.headers.get(CONTENT_LENGTH);
         let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
         if length.unwrap_or(body.size_hint().lower()) > rules.limits().max_body_bytes {
@@ -203,6 +221,7 @@
             payload,
             route: Arc::clone(route),
             requested_timeout: timeout,
+            organisation,
         })
     }
 
@@ -283,7 +302,11 @@
     }
     let status = status(reply.verdict, reply.reason);
     let mut response = status_response(status);
-    if status == StatusCode::SERVICE_UNAVAILABLE {
+    let has_retry_after = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
+    if has_retry_after.contains(&status) {
         let refusal = Refusal {
             reason: reply.reason.unwrap_or(Reason::Deadline),
             remaining,
--- a/crates/lentilshunt-node/src/relay/shared.rs
+++ b/crates/lentilshunt-node/src/relay/shared.rs
@@ -25,6 +25,8 @@
     node_count: usize,
     /// Nodes that may read the table store for the local failure domain, in order of preference.
     reader_candidates: Vec<(InstanceId, SocketAddr)>,
+    /// Nodes that may keep the accounts of quotas, in order of preference.
+    accountants: Vec<(InstanceId, SocketAddr)>,
 }
 
 /// The highest version that is known to be active on some node.
@@ -85,6 +87,7 @@
             local_region,
             node_count: endpoints.len(),
             reader_candidates: Vec::new(),
+            accountants: Vec::new(),
         }
     }
 
@@ -108,6 +111,19 @@
         &self.reader_candidates
     }
 
+    /// Sets the nodes that may keep the accounts of quotas, in order of preference.
+    #[must_use]
+    pub fn with_accountants(mut self, accountants: Vec<(InstanceId, SocketAddr)>) -> Self {
+        self.accountants = accountants;
+        self
+    }
+
+    /// Returns the nodes that may keep the accounts of quotas, in order of preference.
+    #[must_use]
+    pub fn accountants(&self) -> &[(InstanceId, SocketAddr)] {
+        &self.accountants
+    }
+
     /// Returns the endpoints of a service in the local region, or those of all regions if the
     /// local one has none.
     #[must_use]
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -27,6 +27,7 @@
 };
 use lentilshunt_net::{BoxFuture, http::Shutdown};
 use lentilshunt_node::fleet::{Codec, DecodeError, Feeds, Installer};
+use lentilshunt_node::quota::Accountant;
 use lentilshunt_node::relay::{
     Directory, Dispatcher, Executor, Handler, HeaderLimits, HeaderNames, Inbound, Outbound, Pool,
     Server, Shared,
@@ -395,7 +396,7 @@
         Arc::clone(&suspects),
         pool,
     );
-    let outbound = Outbound::new(Arc::clone(&shared), Arc::new(dispatcher));
+    let outbound = Outbound::new(Arc::clone(&shared), Arc::new(dispatcher), Arc::default());
     let installer = Installer::new(Arc::clone(&shared), Arc::new(UnusedCodec), String::new());
     let refusing = CancellationToken::new();
     let fallback = Arc::new(Feeds::new(Arc::default(), Arc::new(installer)));
@@ -404,6 +405,7 @@
         Arc::clone(&executor),
         suspects,
         0,
+        Arc::new(Accountant::new(Arc::clone(&shared))),
         fallback,
         refusing.clone(),
     );
