feat(overload): let calls of upstreams go before requests that have not begun

Change: overload::Origin tells calls of the local upstream by what is known of its runs: they are made while one runs and expire no later. Precedence puts them before others of their rank.

--- a/crates/lentilshunt-core/src/overload/mod.rs
+++ b/crates/lentilshunt-core/src/overload/mod.rs
@@ -9,6 +9,7 @@
 //! | how many requests an upstream with a rate limit gets | [`RateLimit`] | upstreams in need, restarts of their nodes |
 //! | how long a run is expected to take | [`RunTimes`] | upstreams that become slow while requests run |
 //! | whether a caller repeats a request | [`Timeouts`] | impatient callers, callers with unequal timeouts |
+//! | whether a request is a call of the local upstream | [`Origin`] | services that call each other |
 //! | whether a call is attempted again, and how | [`Attempts`] | grey upstreams, impatient callers, lost nodes |
 //! | when a refused caller may come back | [`Refusal`] | bursts, returns of many callers at once |
 //! | which endpoint runs an attempt | [`routing`](crate::routing) | shifts, unequal upstreams, new upstreams |
@@ -16,6 +17,7 @@
 mod applicant;
 mod attempts;
 mod notice;
+mod origin;
 mod patience;
 mod rate;
 mod rate_limit;
@@ -27,6 +29,7 @@
 pub use applicant::{Applicant, Kind};
 pub use attempts::{Attempts, Limits, Outcome, Step};
 pub use notice::{Notice, Notices};
+pub use origin::Origin;
 pub use patience::Patience;
 pub use rate::{ParseError, Rate};
 pub use rate_limit::RateLimit;
--- a/crates/lentilshunt-core/tests/overload/main.rs
+++ b/crates/lentilshunt-core/tests/overload/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions of a relaying node under load.
 
 mod attempts;
+mod origin;
 mod rate_limit;
 mod refusal;
 mod run_times;
--- a/crates/lentilshunt-core/tests/overload/waiting.rs
+++ b/crates/lentilshunt-core/tests/overload/waiting.rs
@@ -15,6 +15,7 @@
     Applicant {
         precedence: Precedence {
             rank: kind.rank,
+            is_first: true,
             is_past_target: false,
             deadline: wanted,
         },
@@ -190,3 +191,28 @@
     assert_eq!(waiting.remove(ticket), None);
     assert_eq!(waiting.free_slots(now), 2);
 }
+
+// Pattern: services that call each other. A call of a run that has begun goes before requests of
+// its rank that have not, even past its target latency.
+#[test]
+fn next_with_call_of_upstream() {
+    let now = Instant::now();
+    let mut waiting = busy(now);
+    let wanted = now + MILLISECOND * 900;
+    let first = applicant(LOOKUP, wanted, now + MILLISECOND * 2000);
+    let mut nested = applicant(LOOKUP, now + MILLISECOND * 950, now + MILLISECOND * 950);
+    nested.precedence.is_first = false;
+    nested.precedence.is_past_target = true;
+    let mut urgent = first;
+    urgent.precedence.rank = 0;
+    waiting.push(first, "first");
+    waiting.push(nested, "nested");
+    waiting.push(urgent, "urgent");
+    let mut order = Vec::new();
+    for _ in 0..3 {
+        waiting.end(now);
+        order.extend(waiting.next(now));
+    }
+    let expected = ["urgent", "nested", "first"].map(Next::Start);
+    assert_eq!(order, expected);
+}
--- a/crates/lentilshunt-fake/src/overload/caller.rs
+++ b/crates/lentilshunt-fake/src/overload/caller.rs
@@ -88,6 +88,7 @@
         Applicant {
             precedence: Precedence {
                 rank: self.class.kind.rank,
+                is_first: true,
                 is_past_target: self.is_past_target,
                 deadline: if self.is_past_target {
                     self.gives_up_at
--- a/crates/lentilshunt-node/src/relay/call.rs
+++ b/crates/lentilshunt-node/src/relay/call.rs
@@ -45,6 +45,8 @@
     pub deadline: Instant,
     /// Time at which the target latency of the route has passed; a later response has less value.
     pub target_at: Instant,
+    /// Whether the request is a call that a run on another upstream waits for.
+    pub is_nested: bool,
     /// How long the request waits at an upstream.
     pub patience: Patience,
     /// Whether the node has not read the body of the request completely.
@@ -100,6 +102,7 @@
         Applicant {
             precedence: Precedence {
                 rank: self.rank,
+                is_first: !self.is_nested,
                 is_past_target,
                 deadline: if is_past_target {
                     self.deadline
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -103,6 +103,12 @@
         }
     }
 
+    /// Returns the latest deadline of the requests that run on the local upstream.
+    #[must_use]
+    pub fn latest_local_deadline(&self) -> Option<Instant> {
+        self.executor.latest_deadline()
+    }
+
     /// Sends a call until `max_upstream_attempts` attempts may have reached an upstream, and
     /// returns its reply.
     ///
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -228,6 +228,12 @@
         self.gate.free_slots()
     }
 
+    /// Returns the latest deadline of the requests that run on the upstream, or `None` if none does.
+    #[must_use]
+    pub fn latest_deadline(&self) -> Option<Instant> {
+        self.gate.latest_deadline()
+    }
+
     /// Returns what the current process of the upstream has said of itself.
     #[must_use]
     pub fn notice(&self) -> Option<Notice> {
--- a/crates/lentilshunt-node/src/relay/gate.rs
+++ b/crates/lentilshunt-node/src/relay/gate.rs
@@ -24,17 +24,26 @@
 #[derive(Debug)]
 pub(super) struct Gate {
     waiting: Mutex<Waiting<oneshot::Sender<Slot>>>,
+    /// Deadlines of the requests that run.
+    deadlines: Mutex<Vec<Instant>>,
     /// Whether a task waits for the next turn under the rate limit.
     has_timer: AtomicBool,
 }
 
 /// An acquired slot, released when it is dropped.
 #[derive(Debug)]
-pub(super) struct Slot {
+struct Slot {
     gate: Arc<Gate>,
     started_at: Instant,
 }
 
+/// A request that runs, until it is dropped.
+#[derive(Debug)]
+pub(super) struct Running {
+    slot: Slot,
+    deadline: Instant,
+}
+
 /// A request that waits, removed when it is dropped.
 struct Position<'a> {
     gate: &'a Gate,
@@ -46,10 +55,16 @@
     pub(super) fn new(capacity: usize) -> Self {
         Self {
             waiting: Mutex::new(Waiting::new(capacity, Instant::now())),
+            deadlines: Mutex::default(),
             has_timer: AtomicBool::new(false),
         }
     }
 
+    /// Returns the latest deadline of the requests that run, or `None` if none does.
+    pub(super) fn latest_deadline(&self) -> Option<Instant> {
+        lock(&self.deadlines).iter().max().copied()
+    }
+
     /// Sets the number of requests that run concurrently.
     pub(super) fn resize(self: &Arc<Self>, slots: u32) {
         let mut waiting = self.lock();
@@ -89,7 +104,14 @@
     }
 
     /// Waits for a slot, or returns why there is none in time.
-    pub(super) async fn acquire(self: &Arc<Self>, applicant: Applicant) -> Result<Slot, Reason> {
+    pub(super) async fn acquire(self: &Arc<Self>, applicant: Applicant) -> Result<Running, Reason> {
+        let deadline = applicant.deadline;
+        let slot = self.acquire_slot(applicant).await?;
+        lock(&self.deadlines).push(deadline);
+        Ok(Running { slot, deadline })
+    }
+
+    async fn acquire_slot(self: &Arc<Self>, applicant: Applicant) -> Result<Slot, Reason> {
         let (until, ticket, granted) = {
             let mut waiting = self.lock();
             let now = Instant::now();
@@ -166,11 +188,20 @@
     }
 }
 
-impl Slot {
+impl Running {
     /// Records that the upstream has responded to a request of the given kind.
     pub(super) fn record_response(&self, kind: Kind) {
-        let run = self.started_at.elapsed();
-        self.gate.lock().observe(kind, run);
+        let run = self.slot.started_at.elapsed();
+        self.slot.gate.lock().observe(kind, run);
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let mut deadlines = lock(&self.slot.gate.deadlines);
+        if let Some(index) = deadlines.iter().position(|other| *other == self.deadline) {
+            deadlines.swap_remove(index);
+        }
     }
 }
 
--- a/crates/lentilshunt-node/src/relay/mod.rs
+++ b/crates/lentilshunt-node/src/relay/mod.rs
@@ -26,6 +26,7 @@
 mod log_limiter;
 mod node_headers;
 mod notifier;
+mod origins;
 mod outbound;
 mod pool;
 mod reply;
--- a/crates/lentilshunt-node/src/relay/node_headers.rs
+++ b/crates/lentilshunt-node/src/relay/node_headers.rs
@@ -46,9 +46,11 @@
     } else {
         'q'
     };
+    // `u`: made by an upstream, `c`: by a caller.
+    let origin = if call.is_nested { 'u' } else { 'c' };
     let target = call.target_at.saturating_duration_since(Instant::now());
     let text = format!(
-        "{} {} {idempotence} {timeliness} {} {} {} {version} {:x} {queueing} {}",
+        "{} {} {idempotence} {timeliness} {} {} {} {version} {:x} {queueing} {} {origin}",
         call.service,
         call.caller,
         call.rank,
@@ -89,12 +91,13 @@
     let target_at = arrived_at.instant() + Duration::from_millis(parts.next()?.parse().ok()?);
     let version = parts.next()?.parse().ok()?;
     let fingerprint = Fingerprint::from_str_radix(parts.next()?, 16).ok()?;
-    // A node of an earlier release does not send this field and the next one.
+    // A node of an earlier release does not send this field and the next ones.
     let may_queue = parts.next() != Some("d");
     let kind_rank = match parts.next() {
         Some(rank) => rank.parse().ok()?,
         None => rank,
     };
+    let is_nested = parts.next() == Some("u");
     let patience = match (is_past_target, may_queue) {
         (true, _) => Patience::UntilDeadline,
         (false, true) => Patience::UntilTarget,
@@ -116,6 +119,7 @@
         arrived_at,
         deadline,
         target_at,
+        is_nested,
         patience,
         has_unread_body: headers.contains_key(EXPECT),
         fingerprint,
--- a/crates/lentilshunt-node/src/relay/outbound.rs
+++ b/crates/lentilshunt-node/src/relay/outbound.rs
@@ -8,7 +8,7 @@
 use hyper::{
     Request, Response, StatusCode,
     body::{Body as _, Incoming},
-    header::{CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER},
+    header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER},
 };
 use lentilshunt_core::{
     organisation::Organisation,
@@ -30,6 +30,7 @@
     header::end_to_end,
     log_limiter::LogLimiter,
     node_headers::header_text,
+    origins::Origins,
     server::Handler,
     wait_estimator::WaitEstimator,
 };
@@ -56,6 +57,7 @@
     dispatcher: Arc<Dispatcher>,
     meter: Arc<Meter>,
     wait_estimator: WaitEstimator,
+    origins: Origins,
     log_limiter: LogLimiter,
 }
 
@@ -79,6 +81,7 @@
             dispatcher,
             meter,
             wait_estimator: WaitEstimator::default(),
+            origins: Origins::default(),
             log_limiter: LogLimiter::new(),
         }
     }
@@ -153,6 +156,7 @@
                 Reason::UnknownService
             }
         })?;
+        let has_key = rules.organisations().is_some() && parts.headers.contains_key(AUTHORIZATION);
         let mut headers = end_to_end(&parts.headers);
         let organisation = match rules.organisations() {
             Some(organisations) => {
@@ -176,6 +180,12 @@
         let waited = self
             .wait_estimator
             .record_and_estimate(&route.name, timeout);
+        let is_nested = !has_key
+            && self.origins.record(
+                &route.name,
+                arrived_at.instant() + timeout,
+                self.dispatcher.latest_local_deadline(),
+            );
         let payload = match timeout_at(
             deadline.into(),
             read_prefix(body, MAX_BUFFERED_REQUEST_BYTES),
@@ -205,6 +215,7 @@
                 rank: route.rank,
                 idempotent: route.idempotent,
             },
+            is_nested,
             patience: if waited >= route.target_latency {
                 Patience::UntilDeadline
             } else {
--- a/crates/lentilshunt-node/tests/relay/rate_limit.rs
+++ b/crates/lentilshunt-node/tests/relay/rate_limit.rs
@@ -84,6 +84,7 @@
         arrived_at: now,
         deadline: now.instant() + Duration::from_secs(2),
         target_at: now.instant() + Duration::from_secs(1),
+        is_nested: false,
         patience: Patience::Brief,
         has_unread_body: false,
         fingerprint: 0,
