feat(rollout): bring in a new version of a service by a trial

Change: nodes split requests by a plan; a coordinator compares what the two versions do, kind by kind, gives the new one up or shifts all requests to it, and writes the outcome under a condition on the row's revision. Versions of upstreams are part of records where the settings allow a share.

--- a/crates/lentilshunt-core/src/lib.rs
+++ b/crates/lentilshunt-core/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`overload`] | what waits, is refused and is attempted again under load |
 //! | [`organisation`] | organisations, their keys and their quotas |
 //! | [`quota`] | requests that organisations may send to all nodes together |
+//! | [`rollout`] | trial of a new version of a service |
 //! | [`execution`] | state of each non-idempotent request on the executing node |
 //! | [`claim`] | deduplication of repeated non-idempotent requests by idempotency key |
 //! | [`traffic`] | matching of requests to services, and limits of callers |
@@ -37,6 +38,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod retry;
+pub mod rollout;
 pub mod routing;
 pub mod traffic;
 pub mod verdict;
--- a/crates/lentilshunt-core/src/membership/endpoint.rs
+++ b/crates/lentilshunt-core/src/membership/endpoint.rs
@@ -20,6 +20,8 @@
     pub incarnation: Incarnation,
     /// Service of the upstream.
     pub service: ServiceId,
+    /// Version of the upstream's software; empty if it is not known.
+    pub version: String,
     /// Phase that the node published.
     pub phase: Phase,
     /// Maximum number of calls that the upstream runs concurrently.
--- a/crates/lentilshunt-core/src/membership/local_record.rs
+++ b/crates/lentilshunt-core/src/membership/local_record.rs
@@ -30,6 +30,7 @@
             slots: 0,
             reading: 0,
             room: 0,
+            version: None,
         };
         Self {
             record,
@@ -58,6 +59,13 @@
         self.replace(record)
     }
 
+    /// Sets the version of the upstream's software and returns whether the record changed.
+    pub fn set_version(&mut self, version: Option<String>) -> bool {
+        let mut record = self.record.clone();
+        record.version = version;
+        self.replace(record)
+    }
+
     /// Marks the upstream as gone and returns whether the record changed.
     pub fn mark_gone(&mut self) -> bool {
         let mut record = self.record.clone();
@@ -109,7 +117,8 @@
         if new.room != old.room {
             new.reading += 1;
         }
-        let base_changed = new.service != old.service || new.slots != old.slots;
+        let base_changed =
+            (&new.service, new.slots, &new.version) != (&old.service, old.slots, &old.version);
         if base_changed || new.phase != old.phase {
             new.sequence += 1;
         }
--- a/crates/lentilshunt-core/src/membership/view.rs
+++ b/crates/lentilshunt-core/src/membership/view.rs
@@ -35,6 +35,7 @@
         domain: record.domain.clone(),
         incarnation: record.incarnation,
         service: record.service.clone(),
+        version: record.version.clone().unwrap_or_default(),
         phase: record.phase,
         slots: record.slots,
         free_slots: record.room,
--- a/crates/lentilshunt-core/tests/membership_merge.rs
+++ b/crates/lentilshunt-core/tests/membership_merge.rs
@@ -28,6 +28,7 @@
             sequence,
             base: sequence / 2,
             service: "s".to_owned(),
+            version: None,
             phase,
             slots: 9,
             reading,
--- a/crates/lentilshunt-core/tests/quarantine.rs
+++ b/crates/lentilshunt-core/tests/quarantine.rs
@@ -24,6 +24,7 @@
             domain: "d".to_owned(),
             incarnation: 1,
             service: "s".to_owned(),
+            version: String::new(),
             phase: Phase::Ready,
             slots: 4,
             free_slots: 4,
--- a/crates/lentilshunt-core/tests/routing/fixture.rs
+++ b/crates/lentilshunt-core/tests/routing/fixture.rs
@@ -24,6 +24,7 @@
         domain: "d".to_owned(),
         incarnation: 1,
         service: "s".to_owned(),
+        version: String::new(),
         phase: Phase::Ready,
         slots: SLOTS,
         free_slots: SLOTS,
--- a/crates/lentilshunt-fake/src/overload/fleet.rs
+++ b/crates/lentilshunt-fake/src/overload/fleet.rs
@@ -57,6 +57,7 @@
                 domain: format!("d{}", domain(index)),
                 incarnation: 1,
                 service: SERVICE.to_owned(),
+                version: String::new(),
                 phase: Phase::Ready,
                 slots: SLOTS,
                 free_slots: SLOTS,
--- a/crates/lentilshunt-node/benches/claims.rs
+++ b/crates/lentilshunt-node/benches/claims.rs
@@ -204,6 +204,7 @@
         domain: "ambato".to_owned(),
         incarnation: 1,
         service: "boletas".to_owned(),
+        version: String::new(),
         phase: Phase::Ready,
         slots: 9,
         free_slots: 9,
--- a/crates/lentilshunt-node/src/fleet/codec.rs
+++ b/crates/lentilshunt-node/src/fleet/codec.rs
@@ -3,7 +3,10 @@
 use std::fmt::Debug;
 
 use bytes::Bytes;
-use lentilshunt_core::traffic::Rules;
+use lentilshunt_core::{
+    rollout::{Order, Outcome},
+    traffic::Rules,
+};
 use snafu::Snafu;
 
 use crate::relay::upstream::Report;
@@ -41,4 +44,26 @@
 
     /// Returns the response body for an accepted report.
     fn acknowledgement(&self) -> Bytes;
+
+    /// Decodes an order of a roll-out.
+    ///
+    /// # Errors
+    ///
+    /// Returns the field that is missing or malformed, or that the deployment has no roll-outs.
+    fn decode_order(&self, _bytes: &[u8]) -> Result<Order, DecodeError> {
+        Err(DecodeError {
+            field: "order".to_owned(),
+            problem: "the deployment has no roll-outs".to_owned(),
+        })
+    }
+
+    /// Encodes the outcome of a roll-out to a version.
+    fn encode_outcome(&self, _version: &str, _outcome: Outcome) -> Bytes {
+        Bytes::new()
+    }
+
+    /// Decodes the version and the outcome of a roll-out; returns `None` if they cannot be read.
+    fn decode_outcome(&self, _bytes: &[u8]) -> Option<(String, Outcome)> {
+        None
+    }
 }
--- a/crates/lentilshunt-node/src/fleet/domain/domain_store.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/domain_store.rs
@@ -21,7 +21,7 @@
 };
 use crate::{
     executor::lock,
-    fleet::{Change, Changes, Error, NodeState, Row, TableSnapshot, TableStore},
+    fleet::{Change, Changes, Error, NodeState, Row, RowAt, TableSnapshot, TableStore},
     relay::{Pool, Shared, body::empty},
 };
 
@@ -341,4 +341,22 @@
     ) -> BoxFuture<'a, Result<(), Error>> {
         self.store.write(table, key, value)
     }
+
+    fn read_row<'a>(
+        &'a self,
+        table: &'a str,
+        key: &'a str,
+    ) -> BoxFuture<'a, Result<Option<RowAt>, Error>> {
+        self.store.read_row(table, key)
+    }
+
+    fn write_row_if<'a>(
+        &'a self,
+        table: &'a str,
+        key: &'a str,
+        revision: u64,
+        value: Bytes,
+    ) -> BoxFuture<'a, Result<(), Error>> {
+        self.store.write_row_if(table, key, revision, value)
+    }
 }
--- a/crates/lentilshunt-node/src/fleet/lifecycle.rs
+++ b/crates/lentilshunt-node/src/fleet/lifecycle.rs
@@ -26,8 +26,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    Cache, Codec, DomainStore, Feeds, Installer, Listing, NodeRegistry, NodeSettings, Publisher,
-    Readiness, Reports, Restoration, StateFetcher, TableStore,
+    Cache, Codec, DomainStore, Feeds, Installer, Listing, NodeRegistry, NodeSettings, Orders,
+    Publisher, Readiness, Reports, Restoration, StateFetcher, TableStore,
     adoption::adopt_upstream,
     metrics::Metrics,
     watch::{Subscription, watch_table},
@@ -39,6 +39,7 @@
         Directory, Dispatcher, Executor, Handler, HeaderLimits, Inbound, Outbound, Pool, Server,
         Shared,
     },
+    rollout::{Coordinator, Driver, Rollouts},
 };
 
 /// Maximum time to connect to another node.
@@ -123,10 +124,17 @@
     let feeds = Arc::new(Feeds::new(Arc::clone(&cache), Arc::clone(&installer)));
     let refuse_calls = CancellationToken::new();
     let accountant = Arc::new(Accountant::new(Arc::clone(&shared)));
+    let coordinator = Coordinator::new(
+        Arc::clone(&shared),
+        Arc::clone(&codec),
+        settings.rollouts.clone(),
+    );
+    let coordinator = Arc::new(coordinator);
     let meter = Arc::<Meter>::default();
     let peer_services = PeerServices {
         feeds,
         accountant: Arc::clone(&accountant),
+        coordinator: Arc::clone(&coordinator),
         refuse_calls: refuse_calls.clone(),
     };
     let (handlers, executor, records) =
@@ -159,6 +167,14 @@
     tasks.push(tokio::spawn(state_fetcher.run()));
     let reporter = Reporter::new(Arc::clone(&shared), meter, accountant, Arc::clone(&pool));
     tasks.push(tokio::spawn(reporter.run()));
+    let driver = Driver::new(
+        Arc::clone(&shared),
+        Arc::clone(&executor),
+        coordinator,
+        Arc::clone(&store),
+        Arc::clone(&pool),
+    );
+    tasks.push(tokio::spawn(driver.run()));
     tasks.push(tokio::spawn(adopt_upstream(Arc::clone(&shared), executor)));
     let domain_store = DomainStore::new(
         store,
@@ -185,6 +201,7 @@
         &settings,
         &shared,
         Arc::new(domain_store),
+        &codec,
         installer,
         records,
     ));
@@ -225,6 +242,7 @@
 struct PeerServices {
     feeds: Arc<Feeds>,
     accountant: Arc<Accountant>,
+    coordinator: Arc<Coordinator>,
     /// Cancelled when calls of other nodes are no longer accepted.
     refuse_calls: CancellationToken,
 }
@@ -259,6 +277,7 @@
         suspects,
         settings.listen.peers.port(),
         peer_services.accountant,
+        peer_services.coordinator,
         peer_services.feeds,
         peer_services.refuse_calls,
     );
@@ -292,6 +311,7 @@
     settings: &NodeSettings,
     shared: &Arc<Shared>,
     store: Arc<dyn TableStore>,
+    codec: &Arc<dyn Codec>,
     installer: Arc<Installer>,
     records: watch::Receiver<Option<Record>>,
 ) -> [JoinHandle<()>; 3] {
@@ -313,6 +333,11 @@
             Arc::clone(shared),
             store,
             installer,
+            Orders::new(
+                Arc::clone(shared),
+                Arc::clone(codec),
+                settings.rollouts.key_prefix.clone(),
+            ),
             rules_table,
             listing,
         )),
@@ -381,6 +406,7 @@
         retry_allowance: ArcSwap::from_pointee(settings.retry_allowance),
         rules: ArcSwap::from_pointee(Rules::default()),
         directory: ArcSwap::from_pointee(Directory::default()),
+        rollouts: Rollouts::new(settings.rollouts.allowed_share > 0),
         newest_version: watch::Sender::default(),
         stop,
         log,
@@ -401,6 +427,7 @@
     shared: Arc<Shared>,
     store: Arc<dyn TableStore>,
     installer: Arc<Installer>,
+    orders: Orders,
     table: String,
     listing: watch::Receiver<Listing>,
 ) {
@@ -415,6 +442,7 @@
         Some(&shared),
         &shared.log,
         |update| {
+            orders.apply_update(&update, Instant::now());
             installer.apply_update(update);
         },
     )
--- a/crates/lentilshunt-node/src/fleet/mod.rs
+++ b/crates/lentilshunt-node/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 mod node_registry;
 mod node_settings;
 mod node_state;
+mod orders;
 mod publisher;
 mod readiness;
 mod registration;
@@ -33,10 +34,13 @@
 pub use node_registry::{Listing, NodeRegistry, Restoration};
 pub use node_settings::{ListenAddresses, NodeSettings};
 pub use node_state::NodeState;
+pub use orders::Orders;
 pub use publisher::Publisher;
 pub use readiness::Readiness;
 pub use registration::Registration;
 pub use report::Reports;
 pub use state_fetcher::StateFetcher;
-pub use table_store::{Change, Changes, Error, RestoredSnafu, Row, TableSnapshot, TableStore};
+pub use table_store::{
+    Change, Changes, Error, RestoredSnafu, Row, RowAt, TableSnapshot, TableStore,
+};
 pub use watch::{Subscription, TableUpdate, watch_table};
--- a/crates/lentilshunt-node/src/fleet/node_registry.rs
+++ b/crates/lentilshunt-node/src/fleet/node_registry.rs
@@ -25,8 +25,8 @@
 const MIN_SHARED_READ_NODES: usize = 6;
 /// Rendezvous key of the reader, which decides between links of equal bandwidth.
 const READER_ROLE: &str = "reader";
-/// Rendezvous key of the node that keeps the accounts of quotas.
-const ACCOUNTANT_ROLE: &str = "accountant";
+/// Rendezvous key of the node that decides for the fleet.
+const COORDINATOR_ROLE: &str = "coordinator";
 
 /// What is known of the registered nodes.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -165,7 +165,7 @@
         };
         let directory = directory
             .with_reader_candidates(candidates)
-            .with_accountants(by_preference(self.registrations.values(), ACCOUNTANT_ROLE));
+            .with_coordinators(by_preference(self.registrations.values(), COORDINATOR_ROLE));
         self.shared.directory.store(Arc::new(directory));
         self.listing.send_replace(listing);
     }
--- a/crates/lentilshunt-node/src/fleet/node_settings.rs
+++ b/crates/lentilshunt-node/src/fleet/node_settings.rs
@@ -4,7 +4,7 @@
 
 use lentilshunt_core::{id::ServiceId, retry::FleetBudget, routing::Locality};
 
-use crate::relay::HeaderNames;
+use crate::{relay::HeaderNames, rollout};
 
 /// Addresses of a relaying node: its listeners and the address that it advertises.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -48,6 +48,8 @@
     pub header_names: HeaderNames,
     /// Table and key of the row with the traffic rules.
     pub rules_row: (String, String),
+    /// Where orders of roll-outs and their outcomes are stored.
+    pub rollouts: rollout::Settings,
     /// Table with the registrations of the nodes.
     pub nodes_table: String,
 }
--- a/crates/lentilshunt-node/src/fleet/node_state.rs
+++ b/crates/lentilshunt-node/src/fleet/node_state.rs
@@ -61,5 +61,6 @@
         slots: endpoint.slots,
         reading: 0,
         room: endpoint.free_slots,
+        version: Some(endpoint.version.clone()).filter(|version| !version.is_empty()),
     }
 }
--- a/crates/lentilshunt-node/src/fleet/report.rs
+++ b/crates/lentilshunt-node/src/fleet/report.rs
@@ -128,7 +128,11 @@
             load: 0,
         };
         let mut local_record = lock(&self.local_record);
-        if local_record.apply_announcement(&announcement) {
+        let has_rollouts = self.shared.rollouts.is_enabled();
+        let version = Some(report.version.clone());
+        let version = version.filter(|version| has_rollouts && !version.is_empty());
+        let has_version_changed = local_record.set_version(version);
+        if local_record.apply_announcement(&announcement) || has_version_changed {
             self.records
                 .send_replace(Some(local_record.record().clone()));
         }
--- a/crates/lentilshunt-node/src/fleet/table_store.rs
+++ b/crates/lentilshunt-node/src/fleet/table_store.rs
@@ -15,6 +15,15 @@
     pub value: Bytes,
 }
 
+/// Content of a row with the revision of its last change.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RowAt {
+    /// Content of the row.
+    pub value: Bytes,
+    /// Revision of the last change of the row.
+    pub revision: u64,
+}
+
 /// All rows of a table at one revision.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TableSnapshot {
@@ -62,6 +71,9 @@
         /// Requested revision.
         revision: u64,
     },
+    /// The row has been changed since it was read.
+    #[snafu(display("the row has been changed since it was read"))]
+    Conflict,
     /// The request failed, or its result is unknown.
     #[snafu(display("request to the store failed: {detail}"))]
     Unavailable {
@@ -104,4 +116,29 @@
         key: &'a str,
         value: Option<Bytes>,
     ) -> BoxFuture<'a, Result<(), Error>>;
+
+    /// Reads one row; returns `None` if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Unavailable`] when the store does not respond.
+    fn read_row<'a>(
+        &'a self,
+        table: &'a str,
+        key: &'a str,
+    ) -> BoxFuture<'a, Result<Option<RowAt>, Error>>;
+
+    /// Writes a row whose last change has the given revision; 0 means that it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Conflict`] when the row has another revision, and [`Error::Unavailable`]
+    /// when the store does not confirm the write; the row may have been written nevertheless.
+    fn write_row_if<'a>(
+        &'a self,
+        table: &'a str,
+        key: &'a str,
+        revision: u64,
+        value: Bytes,
+    ) -> BoxFuture<'a, Result<(), Error>>;
 }
--- a/crates/lentilshunt-node/src/fleet/watch.rs
+++ b/crates/lentilshunt-node/src/fleet/watch.rs
@@ -41,6 +41,13 @@
 }
 
 impl TableUpdate {
+    /// Returns the changes in the update.
+    #[must_use]
+    pub fn changes(&self) -> &[Change] {
+        let (Self::Full(changes) | Self::Incremental(changes) | Self::Restored(changes)) = self;
+        changes
+    }
+
     /// Returns the changes in the update.
     #[must_use]
     pub fn into_changes(self) -> Vec<Change> {
--- a/crates/lentilshunt-node/src/lib.rs
+++ b/crates/lentilshunt-node/src/lib.rs
@@ -18,6 +18,8 @@
 //! | module | purpose |
 //! |---|---|
 //! | [`relay`] | relays requests by traffic rules, with streamed bodies |
+//! | [`quota`] | binds the quotas of organisations over all nodes |
+//! | [`rollout`] | brings in new versions of services |
 //! | [`fleet`] | discovers other nodes and receives the traffic rules through a table store |
 
 pub mod admin;
@@ -30,3 +32,4 @@
 pub mod peer;
 pub mod quota;
 pub mod relay;
+pub mod rollout;
--- a/crates/lentilshunt-node/src/peer/handler.rs
+++ b/crates/lentilshunt-node/src/peer/handler.rs
@@ -164,6 +164,7 @@
             domain: locality.domain.clone(),
             incarnation,
             service: String::new(),
+            version: String::new(),
             phase: Phase::Ready,
             slots: 0,
             free_slots: 0,
--- a/crates/lentilshunt-node/src/quota/reporter.rs
+++ b/crates/lentilshunt-node/src/quota/reporter.rs
@@ -111,7 +111,7 @@
     fn accountant(&mut self, now: Instant) -> Option<(InstanceId, SocketAddr)> {
         self.cooldowns.retain(|_, until| *until > now);
         let directory = self.shared.directory.load();
-        let candidates = directory.accountants().iter().take(MAX_ACCOUNTANTS);
+        let candidates = directory.coordinators().iter().take(MAX_ACCOUNTANTS);
         let mut available = candidates.filter(|(_, address)| !self.cooldowns.contains_key(address));
         available.next().cloned()
     }
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -205,6 +205,10 @@
             directory.route(&call.service)
         };
         let route = route.ok_or(Reason::NoEndpoint)?;
+        let plan = self.shared.rollouts.plan(&call.service, now);
+        let is_first = attempts.tried.is_empty() && attempts.tried_before.is_empty();
+        let planned = plan.map(|plan| plan.select(route, is_first, rand::random()));
+        let route = planned.as_ref().unwrap_or(route);
         let selection = SelectionContext {
             service: &call.service,
             route,
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -66,6 +66,7 @@
     instance: InstanceId,
     /// Service of the upstream.
     service: ServiceId,
+    shared: Arc<Shared>,
     notifier: Notifier,
     /// Requests sent to the upstream since its rate limit changed.
     sent_under_limit: AtomicU64,
@@ -100,6 +101,7 @@
             suspects,
             instance: shared.locality.instance.clone(),
             service: shared.service.clone(),
+            shared: Arc::clone(shared),
             notifier: Notifier::new(Arc::clone(shared), peer_pool),
             sent_under_limit: AtomicU64::new(0),
             is_silent: AtomicBool::new(false),
@@ -195,6 +197,8 @@
             started_ms: 0,
             sequence: 0,
             service: self.service.clone(),
+            version: String::new(),
+            warm_up_left: Duration::ZERO,
             phase: Phase::Ready,
             slots,
         })
@@ -326,17 +330,30 @@
         }
         self.sent_under_limit.fetch_add(1, Ordering::Relaxed);
         metrics::counter!("lentilshunt_upstream_requests_total").increment(1);
+        let sent_at = Instant::now();
+        let record_run = |has_failed| {
+            let now = Instant::now();
+            let time = (now >= upstream.warm_at).then(|| now - sent_at);
+            let version = &upstream.report.version;
+            let rollouts = &self.shared.rollouts;
+            rollouts.record(&self.service, version, call.kind, has_failed, time);
+        };
         let response = match self.pool.send(self.upstream_address, request).await {
             Ok(response) => response,
             Err(failure) if failure.verdict() == Verdict::NotRun => {
                 return Reply::refused(Reason::Unreachable);
             }
-            Err(_lost) => return self.handle_lost_connection(call).await,
+            Err(_lost) => {
+                record_run(true);
+                return self.handle_lost_connection(call).await;
+            }
         };
         let reply = self.classify(call, &upstream, response);
         if reply.verdict == Verdict::Ran {
             self.suspects.clear(call.fingerprint, Instant::now());
             slot.record_response(call.kind);
+            let status = reply.response.as_ref().map(Response::status);
+            record_run(status.is_some_and(|status| status.is_server_error()));
         }
         Reply {
             response: reply
--- a/crates/lentilshunt-node/src/relay/inbound.rs
+++ b/crates/lentilshunt-node/src/relay/inbound.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 
-use crate::quota::Accountant;
+use crate::{quota::Accountant, rollout::Coordinator};
 
 use super::{
     Call, Executor, Reply, Shared,
@@ -37,6 +37,7 @@
     suspects: Arc<Suspects>,
     peer_port: u16,
     accountant: Arc<Accountant>,
+    coordinator: Arc<Coordinator>,
     fallback: Arc<dyn Handler>,
     refuse_calls: CancellationToken,
 }
@@ -48,12 +49,14 @@
     /// are neither calls, probes nor suspicions go to `fallback`. Calls are
     /// refused once `refuse_calls` is cancelled.
     #[must_use]
+    #[allow(clippy::too_many_arguments, reason = "each is a component of its own")]
     pub fn new(
         shared: Arc<Shared>,
         executor: Arc<Executor>,
         suspects: Arc<Suspects>,
         peer_port: u16,
         accountant: Arc<Accountant>,
+        coordinator: Arc<Coordinator>,
         fallback: Arc<dyn Handler>,
         refuse_calls: CancellationToken,
     ) -> Self {
@@ -63,6 +66,7 @@
             suspects,
             peer_port,
             accountant,
+            coordinator,
             fallback,
             refuse_calls,
         }
@@ -118,7 +122,10 @@
             return Response::new(empty());
         }
         if request.uri().path() == Accountant::PATH {
-            return self.settle(request).await;
+            return self.settle_usage(request).await;
+        }
+        if request.uri().path() == Coordinator::PATH {
+            return self.settle_rollout(request).await;
         }
         self.fallback.handle(request).await
     }
@@ -126,7 +133,7 @@
 
 impl Inbound {
     /// Settles the report of a node on the quotas that it has used.
-    async fn settle(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn settle_usage(&self, request: Request<Incoming>) -> Response<Body> {
         let body = read_prefix(from_incoming(request.into_body()), Accountant::MAX_BYTES).await;
         let Ok(Payload::Buffered(report)) = body else {
             return status_response(StatusCode::BAD_REQUEST);
@@ -136,6 +143,16 @@
             None => status_response(StatusCode::BAD_REQUEST),
         }
     }
+
+    /// Settles the report of a node on a roll-out; the response is empty if its order is not known.
+    async fn settle_rollout(&self, request: Request<Incoming>) -> Response<Body> {
+        let body = read_prefix(from_incoming(request.into_body()), Coordinator::MAX_BYTES).await;
+        let Ok(Payload::Buffered(report)) = body else {
+            return status_response(StatusCode::BAD_REQUEST);
+        };
+        let reply = self.coordinator.settle_encoded(&report);
+        Response::new(full(reply.unwrap_or_default()))
+    }
 }
 
 /// Returns the body of a call, read completely unless it is a long one.
--- a/crates/lentilshunt-node/src/relay/shared.rs
+++ b/crates/lentilshunt-node/src/relay/shared.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::HeaderNames;
+use crate::rollout::Rollouts;
 
 /// Endpoints of each service, grouped by distance.
 #[derive(Debug, Default)]
@@ -25,8 +26,8 @@
     node_count: usize,
     /// Nodes that may read the table store for the local failure domain, in order of preference.
     reader_candidates: Vec<(InstanceId, SocketAddr)>,
-    /// Nodes that may keep the accounts of quotas, in order of preference.
-    accountants: Vec<(InstanceId, SocketAddr)>,
+    /// Nodes that may decide for the fleet, as accountant of quotas or coordinator of roll-outs, in order of preference.
+    coordinators: Vec<(InstanceId, SocketAddr)>,
 }
 
 /// The highest version that is known to be active on some node.
@@ -53,6 +54,8 @@
     pub rules: ArcSwap<Rules>,
     /// Known endpoints.
     pub directory: ArcSwap<Directory>,
+    /// Roll-outs of new versions of services.
+    pub rollouts: Rollouts,
     /// Highest version that is active on this or another node.
     pub newest_version: watch::Sender<NewestVersion>,
     /// Cancelled when the node starts to shut down.
@@ -87,7 +90,7 @@
             local_region,
             node_count: endpoints.len(),
             reader_candidates: Vec::new(),
-            accountants: Vec::new(),
+            coordinators: Vec::new(),
         }
     }
 
@@ -111,17 +114,19 @@
         &self.reader_candidates
     }
 
-    /// Sets the nodes that may keep the accounts of quotas, in order of preference.
+    /// Sets the nodes that may decide for the fleet, as accountant of quotas or coordinator of
+    /// roll-outs, in order of preference.
     #[must_use]
-    pub fn with_accountants(mut self, accountants: Vec<(InstanceId, SocketAddr)>) -> Self {
-        self.accountants = accountants;
+    pub fn with_coordinators(mut self, coordinators: Vec<(InstanceId, SocketAddr)>) -> Self {
+        self.coordinators = coordinators;
         self
     }
 
-    /// Returns the nodes that may keep the accounts of quotas, in order of preference.
+    /// Returns the nodes that may decide for the fleet, as accountant of quotas or coordinator of
+    /// roll-outs, in order of preference.
     #[must_use]
-    pub fn accountants(&self) -> &[(InstanceId, SocketAddr)] {
-        &self.accountants
+    pub fn coordinators(&self) -> &[(InstanceId, SocketAddr)] {
+        &self.coordinators
     }
 
     /// Returns the endpoints of a service in the local region, or those of all regions if the
--- a/crates/lentilshunt-node/src/relay/upstream.rs
+++ b/crates/lentilshunt-node/src/relay/upstream.rs
@@ -24,6 +24,10 @@
     pub sequence: u64,
     /// Service of the process.
     pub service: ServiceId,
+    /// Version of the process's software; empty if it has not named one.
+    pub version: String,
+    /// Time for which the process stays slow after its start.
+    pub warm_up_left: Duration,
     /// Lifecycle phase of the process.
     pub phase: Phase,
     /// Maximum number of requests that the process runs concurrently.
@@ -39,6 +43,8 @@
     pub id: HeaderValue,
     /// Time at which the newest report arrived.
     pub received_at: Instant,
+    /// Time from which the process is no longer slow after its start.
+    pub warm_at: Instant,
 }
 
 impl Upstream {
@@ -101,12 +107,14 @@
     let Ok(id) = HeaderValue::try_from(report.process.as_str()) else {
         return (Change::Ignored, None);
     };
-    let accept = |report, change| {
+    let accept = |report: Report, change| {
         let received_at = now;
+        let warm_at = now + report.warm_up_left;
         let upstream = Upstream {
             report,
             id,
             received_at,
+            warm_at,
         };
         (change, Some(upstream))
     };
@@ -124,8 +132,8 @@
         if report.sequence <= old.sequence || is_earlier_phase {
             return (Change::Ignored, None);
         }
-        let has_changed =
-            (report.phase, report.slots, &report.service) != (old.phase, old.slots, &old.service);
+        let has_changed = (report.phase, report.slots, &report.service, &report.version)
+            != (old.phase, old.slots, &old.service, &old.version);
         let change = if has_changed {
             Change::Changed
         } else {
--- a/crates/lentilshunt-node/tests/entry/fixture.rs
+++ b/crates/lentilshunt-node/tests/entry/fixture.rs
@@ -254,6 +254,7 @@
             base: 1,
             reading: 0,
             service: "s".to_owned(),
+            version: None,
             phase: Phase::Ready,
             slots: 8,
             room: 8,
--- a/crates/lentilshunt-node/tests/executor/fixture.rs
+++ b/crates/lentilshunt-node/tests/executor/fixture.rs
@@ -379,6 +379,7 @@
         domain: "ambato".to_owned(),
         incarnation,
         service: "boletas".to_owned(),
+        version: String::new(),
         phase: Phase::Ready,
         slots: 2,
         free_slots: 2,
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod domain;
 mod node_state;
+mod rollout;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -16,15 +17,17 @@
     dissemination::Revision,
     membership::{LocalRecord, Phase, Record},
     retry::FleetBudget,
+    rollout::Outcome,
     routing::Locality,
     traffic::{Limits, Rules},
 };
 use lentilshunt_net::BoxFuture;
+use lentilshunt_node::rollout::Rollouts;
 use lentilshunt_node::{
     fleet::{
         Change, Changes, Codec, DecodeError, Error, Installer, NodeRegistry, Publisher,
-        Registration, Restoration, Row, Subscription, TableSnapshot, TableStore, TableUpdate,
-        watch_table,
+        Registration, Restoration, Row, RowAt, Subscription, TableSnapshot, TableStore,
+        TableUpdate, watch_table,
     },
     relay::{Directory, HeaderNames, Shared, upstream::Report},
 };
@@ -122,6 +125,37 @@
             Ok(())
         })
     }
+
+    fn read_row<'a>(
+        &'a self,
+        _table: &'a str,
+        key: &'a str,
+    ) -> BoxFuture<'a, Result<Option<RowAt>, Error>> {
+        Box::pin(async move {
+            if self.fails() {
+                return Err(unavailable());
+            }
+            let revision = *self.writes.lock().unwrap() as u64;
+            let row = self.rows.lock().unwrap().get(key).cloned();
+            Ok(row.map(|value| RowAt { value, revision }))
+        })
+    }
+
+    fn write_row_if<'a>(
+        &'a self,
+        table: &'a str,
+        key: &'a str,
+        revision: u64,
+        value: Bytes,
+    ) -> BoxFuture<'a, Result<(), Error>> {
+        Box::pin(async move {
+            let current = self.read_row(table, key).await?;
+            if current.map_or(0, |row| row.revision) != revision {
+                return Err(Error::Conflict);
+            }
+            self.write(table, key, Some(value)).await
+        })
+    }
 }
 
 /// Decodes rules that begin with a version number.
@@ -146,6 +180,14 @@
     fn acknowledgement(&self) -> Bytes {
         Bytes::new()
     }
+
+    fn encode_outcome(&self, version: &str, outcome: Outcome) -> Bytes {
+        rmp_serde::to_vec(&(version, outcome)).unwrap().into()
+    }
+
+    fn decode_outcome(&self, bytes: &[u8]) -> Option<(String, Outcome)> {
+        rmp_serde::from_slice(bytes).ok()
+    }
 }
 
 fn shared() -> Arc<Shared> {
@@ -176,6 +218,7 @@
         }),
         rules: ArcSwap::from_pointee(Rules::default()),
         directory: ArcSwap::from_pointee(Directory::default()),
+        rollouts: Rollouts::default(),
         newest_version: watch::Sender::default(),
         stop: CancellationToken::new(),
         log: Logger::root(Discard, o!()),
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -27,7 +27,6 @@
 };
 use lentilshunt_net::{BoxFuture, http::Shutdown};
 use lentilshunt_node::fleet::{Codec, DecodeError, Feeds, Installer};
-use lentilshunt_node::quota::Accountant;
 use lentilshunt_node::relay::{
     Directory, Dispatcher, Executor, Handler, HeaderLimits, HeaderNames, Inbound, Outbound, Pool,
     Server, Shared,
@@ -35,6 +34,10 @@
     header,
     upstream::Report,
 };
+use lentilshunt_node::{
+    quota::Accountant,
+    rollout::{Coordinator, Rollouts, Settings},
+};
 use slog::{Discard, Logger, o};
 use tokio::{io::AsyncReadExt, net::TcpListener, sync::watch};
 use tokio_util::sync::CancellationToken;
@@ -273,6 +276,8 @@
         started_ms: 1,
         sequence,
         service: SERVICE.to_owned(),
+        version: String::new(),
+        warm_up_left: Duration::ZERO,
         phase,
         slots: 2,
     }
@@ -334,6 +339,7 @@
         domain: locality.domain.clone(),
         incarnation: 1,
         service: SERVICE.to_owned(),
+        version: String::new(),
         phase: Phase::Ready,
         slots: 2,
         free_slots: 2,
@@ -373,6 +379,7 @@
         }),
         rules: ArcSwap::from_pointee(rules()),
         directory: ArcSwap::from_pointee(Directory::default()),
+        rollouts: Rollouts::default(),
         newest_version: watch::Sender::default(),
         stop: stop.clone(),
         log: Logger::root(Discard, o!()),
@@ -406,6 +413,11 @@
         suspects,
         0,
         Arc::new(Accountant::new(Arc::clone(&shared))),
+        Arc::new(Coordinator::new(
+            Arc::clone(&shared),
+            Arc::new(UnusedCodec),
+            Settings::default(),
+        )),
         fallback,
         refusing.clone(),
     );
--- a/crates/lentilshunt-node/tests/relay/restart.rs
+++ b/crates/lentilshunt-node/tests/relay/restart.rs
@@ -1,6 +1,6 @@
 //! Tests of what a restarted node believes of its upstream.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use lentilshunt_core::membership::Phase;
 use lentilshunt_node::relay::upstream::Report;
@@ -21,6 +21,8 @@
         started_ms: 0,
         sequence: 0,
         service: "bales".to_owned(),
+        version: String::new(),
+        warm_up_left: Duration::ZERO,
         phase: Phase::Ready,
         slots: 9,
     };
