--- a/crates/lentilshunt-core/src/quota/accounts.rs
+++ b/crates/lentilshunt-core/src/quota/accounts.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -44,7 +45,7 @@
             if let Some((organisation, quota)) =
                 organisation.and_then(|organisation| Some((organisation, organisation.quota?)))
             {
-                let name = organisation.name.clone();
+                let name = Arc::clone(&organisation.name);
                 let account = self.accounts.entry(name);
                 let account = account.or_insert_with(|| Account::new(&quota, now));
                 account.record(usage, now);
--- a/crates/lentilshunt-core/src/quota/admissions.rs
+++ b/crates/lentilshunt-core/src/quota/admissions.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -56,7 +57,7 @@
         }
         let admission = self
             .by_organisation
-            .entry(organisation.name.clone())
+            .entry(Arc::clone(&organisation.name))
             .or_insert_with(|| Admission {
                 asked: 0,
                 admitted: 0,
--- a/crates/lentilshunt-core/tests/quota.rs
+++ b/crates/lentilshunt-core/tests/quota.rs
@@ -95,7 +95,7 @@
 
     fn report(&mut self, directory: &Directory) {
         let node_count = self.nodes.len();
-        for node in (0..node_count).filter(|node| (self.step + node) % REPORT_STEPS == 0) {
+        for node in (0..node_count).filter(|node| (self.step + node).is_multiple_of(REPORT_STEPS)) {
             let Some(accountant) = self.accountant[node] else {
                 continue;
             };
--- a/crates/lentilshunt-node/src/fleet/lifecycle.rs
+++ b/crates/lentilshunt-node/src/fleet/lifecycle.rs
@@ -123,22 +123,14 @@
     let installer = Arc::new(installer);
     let feeds = Arc::new(Feeds::new(Arc::clone(&cache), Arc::clone(&installer)));
     let refuse_calls = CancellationToken::new();
-    let accountant = Arc::new(Accountant::new(Arc::clone(&shared)));
-    let coordinator = Coordinator::new(
-        Arc::clone(&shared),
-        Arc::clone(&codec),
-        settings.rollouts.clone(),
-    );
-    let coordinator = Arc::new(coordinator);
-    let meter = Arc::<Meter>::default();
+    let deciders = Deciders::new(&settings, &shared, &codec);
     let peer_services = PeerServices {
         feeds,
-        accountant: Arc::clone(&accountant),
-        coordinator: Arc::clone(&coordinator),
+        deciders: deciders.clone(),
         refuse_calls: refuse_calls.clone(),
     };
     let (handlers, executor, records) =
-        build_handlers(&settings, &shared, &codec, peer_services, &pool, &meter);
+        build_handlers(&settings, &shared, &codec, peer_services, &pool);
     let request_shutdown = Shutdown {
         draining: stop.clone(),
         closed: CancellationToken::new(),
@@ -165,42 +157,13 @@
         Arc::clone(&pool),
     );
     tasks.push(tokio::spawn(state_fetcher.run()));
-    let reporter = Reporter::new(Arc::clone(&shared), meter, accountant, Arc::clone(&pool));
-    tasks.push(tokio::spawn(reporter.run()));
-    let driver = Driver::new(
-        Arc::clone(&shared),
-        Arc::clone(&executor),
-        coordinator,
-        Arc::clone(&store),
-        Arc::clone(&pool),
-    );
-    tasks.push(tokio::spawn(driver.run()));
+    tasks.extend(deciders.start(&shared, &executor, &store, &pool));
     tasks.push(tokio::spawn(adopt_upstream(Arc::clone(&shared), executor)));
-    let domain_store = DomainStore::new(
-        store,
-        Arc::clone(&shared),
-        pool,
-        cache,
-        settings.max_apply_time,
-    )
-    .with_throttle(
-        &settings.rules_row.0,
-        RULES_BATCH_PAUSE,
-        settings
-            .max_apply_time
-            .saturating_sub(READER_RULES_POLL_MARGIN)
-            .max(MIN_READER_RULES_POLL_TIMEOUT),
-    )
-    .with_throttle(
-        &settings.nodes_table,
-        RECORDS_BATCH_PAUSE,
-        READER_RECORDS_POLL_TIMEOUT,
-    )
-    .with_settle_pause(&settings.nodes_table, SETTLE_PAUSE);
+    let domain_store = build_domain_store(&settings, &shared, store, pool, cache);
     tasks.extend(start_store_tasks(
         &settings,
         &shared,
-        Arc::new(domain_store),
+        domain_store,
         &codec,
         installer,
         records,
@@ -241,12 +204,86 @@
 /// Further services of the listener for other nodes.
 struct PeerServices {
     feeds: Arc<Feeds>,
-    accountant: Arc<Accountant>,
-    coordinator: Arc<Coordinator>,
+    deciders: Deciders,
     /// Cancelled when calls of other nodes are no longer accepted.
     refuse_calls: CancellationToken,
 }
 
+/// What decides for the whole fleet on one of its nodes.
+#[derive(Clone)]
+struct Deciders {
+    meter: Arc<Meter>,
+    accountant: Arc<Accountant>,
+    coordinator: Arc<Coordinator>,
+}
+
+impl Deciders {
+    fn new(settings: &NodeSettings, shared: &Arc<Shared>, codec: &Arc<dyn Codec>) -> Self {
+        let coordinator = Coordinator::new(
+            Arc::clone(shared),
+            Arc::clone(codec),
+            settings.rollouts.clone(),
+        );
+        Self {
+            meter: Arc::default(),
+            accountant: Arc::new(Accountant::new(Arc::clone(shared))),
+            coordinator: Arc::new(coordinator),
+        }
+    }
+
+    /// Starts the tasks that report to the deciding nodes.
+    fn start(
+        self,
+        shared: &Arc<Shared>,
+        executor: &Arc<Executor>,
+        store: &Arc<dyn TableStore>,
+        pool: &Arc<Pool>,
+    ) -> [JoinHandle<()>; 2] {
+        let reporter = Reporter::new(
+            Arc::clone(shared),
+            self.meter,
+            self.accountant,
+            Arc::clone(pool),
+        );
+        let driver = Driver::new(
+            Arc::clone(shared),
+            Arc::clone(executor),
+            self.coordinator,
+            Arc::clone(store),
+            Arc::clone(pool),
+        );
+        [tokio::spawn(reporter.run()), tokio::spawn(driver.run())]
+    }
+}
+
+/// Creates the store that is read through a node of the failure domain.
+fn build_domain_store(
+    settings: &NodeSettings,
+    shared: &Arc<Shared>,
+    store: Arc<dyn TableStore>,
+    pool: Arc<Pool>,
+    cache: Arc<Cache>,
+) -> Arc<dyn TableStore> {
+    let reader_poll_timeout = settings
+        .max_apply_time
+        .saturating_sub(READER_RULES_POLL_MARGIN)
+        .max(MIN_READER_RULES_POLL_TIMEOUT);
+    let shared = Arc::clone(shared);
+    let store = DomainStore::new(store, shared, pool, cache, settings.max_apply_time)
+        .with_throttle(
+            &settings.rules_row.0,
+            RULES_BATCH_PAUSE,
+            reader_poll_timeout,
+        )
+        .with_throttle(
+            &settings.nodes_table,
+            RECORDS_BATCH_PAUSE,
+            READER_RECORDS_POLL_TIMEOUT,
+        )
+        .with_settle_pause(&settings.nodes_table, SETTLE_PAUSE);
+    Arc::new(store)
+}
+
 /// Creates the request handlers and the channel of records to be published.
 fn build_handlers(
     settings: &NodeSettings,
@@ -254,8 +291,8 @@
     codec: &Arc<dyn Codec>,
     peer_services: PeerServices,
     pool: &Arc<Pool>,
-    meter: &Arc<Meter>,
 ) -> (Handlers, Arc<Executor>, watch::Receiver<Option<Record>>) {
+    let deciders = peer_services.deciders;
     let suspects = Arc::new(Suspects::new(Instant::now()));
     let executor = Arc::new(Executor::new(
         shared,
@@ -270,14 +307,14 @@
         Arc::clone(&suspects),
         Arc::clone(pool),
     );
-    let outbound = Outbound::new(Arc::clone(shared), Arc::new(dispatcher), Arc::clone(meter));
+    let outbound = Outbound::new(Arc::clone(shared), Arc::new(dispatcher), deciders.meter);
     let inbound = Inbound::new(
         Arc::clone(shared),
         Arc::clone(&executor),
         suspects,
         settings.listen.peers.port(),
-        peer_services.accountant,
-        peer_services.coordinator,
+        deciders.accountant,
+        deciders.coordinator,
         peer_services.feeds,
         peer_services.refuse_calls,
     );
--- a/crates/lentilshunt-node/src/relay/ahead/queue.rs
+++ b/crates/lentilshunt-node/src/relay/ahead/queue.rs
@@ -98,7 +98,7 @@
             return;
         }
         let request = match scanned {
-            Scanned::Bodiless(request) => Some(request),
+            Scanned::Bodiless(request) => Some(*request),
             Scanned::Other => None,
         };
         state.waiting.push_back(Waiting {
--- a/crates/lentilshunt-node/src/relay/ahead/scanner.rs
+++ b/crates/lentilshunt-node/src/relay/ahead/scanner.rs
@@ -13,7 +13,7 @@
 #[derive(Debug)]
 pub enum Scanned {
     /// A request without a body.
-    Bodiless(Request<()>),
+    Bodiless(Box<Request<()>>),
     /// A request with a body or with a head that the scanner does not understand.
     Other,
 }
@@ -79,7 +79,7 @@
         self.bytes.advance(skipped);
         self.body_left = body_bytes - skipped as u64;
         Some(if body_bytes == 0 {
-            Scanned::Bodiless(request)
+            Scanned::Bodiless(Box::new(request))
         } else {
             Scanned::Other
         })
--- a/crates/lentilshunt-node/src/relay/outbound.rs
+++ b/crates/lentilshunt-node/src/relay/outbound.rs
@@ -14,7 +14,7 @@
     organisation::Organisation,
     overload::{Kind, Patience, Refusal},
     quarantine::fingerprint,
-    traffic::Route,
+    traffic::{Route, Rules},
     verdict::{Reason, Verdict},
 };
 use lentilshunt_net::BoxFuture;
@@ -106,15 +106,15 @@
                 progress.requested_timeout_ms =
                     requested_timeout.as_millis().try_into().unwrap_or(u64::MAX);
                 let reply = self
-                    .dispatcher
-                    .dispatch(&call, payload, route.max_upstream_attempts, &mut progress)
+                    .dispatch(
+                        &call,
+                        payload,
+                        &route,
+                        organisation.as_deref(),
+                        &mut progress,
+                    )
                     .await;
                 remaining = call.remaining();
-                if reply.verdict == Verdict::NotRun
-                    && let Some(organisation) = &organisation
-                {
-                    self.meter.refund(organisation);
-                }
                 (Some(route), reply)
             }
             Err(reason) => (None, Reply::refused(reason)),
@@ -125,6 +125,30 @@
         into_response(reply, remaining).map(|body| expiring::with_deadline(body, stream_deadline))
     }
 
+    /// Sends a call to endpoints, if its organisation has not used up its quota.
+    async fn dispatch(
+        &self,
+        call: &Call,
+        payload: Payload,
+        route: &Route,
+        organisation: Option<&Organisation>,
+        progress: &mut Progress,
+    ) -> Reply {
+        let node_count = self.shared.directory.load().node_count();
+        if organisation.is_some_and(|organisation| !self.meter.admit(organisation, node_count)) {
+            return Reply::refused(Reason::OverQuota);
+        }
+        let limit = route.max_upstream_attempts;
+        let reply = self
+            .dispatcher
+            .dispatch(call, payload, limit, progress)
+            .await;
+        if let Some(organisation) = organisation.filter(|_| reply.verdict == Verdict::NotRun) {
+            self.meter.refund(organisation);
+        }
+        reply
+    }
+
     /// Parses a request and matches it with the active traffic rules.
     async fn parse(
         &self,
@@ -149,13 +173,7 @@
         let host = header_text(&parts.headers, HOST.as_str());
         let host = parts.uri.host().unwrap_or(&host);
         let path = parts.uri.path();
-        let route = rules.find(host, path).ok_or_else(|| {
-            if rules.may_match_omission(host, path) {
-                Reason::RouteOmitted
-            } else {
-                Reason::UnknownService
-            }
-        })?;
+        let route = find_route(&rules, host, path)?;
         let has_key = rules.organisations().is_some() && parts.headers.contains_key(AUTHORIZATION);
         let mut headers = end_to_end(&parts.headers);
         let organisation = match rules.organisations() {
@@ -165,12 +183,6 @@
             }
             None => None,
         };
-        if let Some(organisation) = &organisation {
-            let node_count = self.shared.directory.load().node_count();
-            if !self.meter.admit(organisation, node_count) {
-                return Err(Reason::OverQuota);
-            }
-        }
         let length = parts.headers.get(CONTENT_LENGTH);
         let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
         if length.unwrap_or(body.size_hint().lower()) > rules.limits().max_body_bytes {
@@ -306,6 +318,17 @@
     }
 }
 
+/// Returns the route of a request, or why there is none.
+fn find_route<'a>(rules: &'a Rules, host: &str, path: &str) -> Result<&'a Arc<Route>, Reason> {
+    rules.find(host, path).ok_or_else(|| {
+        if rules.may_match_omission(host, path) {
+            Reason::RouteOmitted
+        } else {
+            Reason::UnknownService
+        }
+    })
+}
+
 /// Converts a reply to the response for the caller, whose request has `remaining` time left.
 fn into_response(reply: Reply, remaining: Duration) -> Response<Body> {
     if let Some(response) = reply.response {
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -135,7 +135,7 @@
             if self.fails() {
                 return Err(unavailable());
             }
-            let revision = *self.writes.lock().unwrap() as u64;
+            let revision = u64::from(*self.writes.lock().unwrap());
             let row = self.rows.lock().unwrap().get(key).cloned();
             Ok(row.map(|value| RowAt { value, revision }))
         })
--- a/crates/lentilshunt-node/tests/fleet/rollout.rs
+++ b/crates/lentilshunt-node/tests/fleet/rollout.rs
@@ -117,7 +117,7 @@
             .await
             .is_err()
     );
-    assert!(store.write_row_if("status", "k", 1, value).await.is_ok());
+    store.write_row_if("status", "k", 1, value).await.unwrap();
 }
 
 // Without replies nothing is sent to a version on trial.
