fix(overload): do not take the age of long requests for the run time of short calls

Cause: the expected run of any kind was at least the mean age of all that runs. Change: RunTimes keeps what runs by kind; all kinds are prolonged by the factor by which the running requests are older than their averages. With one kind nothing changes.

--- a/crates/lentilshunt-core/src/overload/run_times.rs
+++ b/crates/lentilshunt-core/src/overload/run_times.rs
@@ -16,13 +16,21 @@
 /// Average run times by kind of request, and the age of the requests that are running.
 ///
 /// The average follows an upstream that becomes slow only after slow runs have ended. The age of
-/// the running requests shows it before.
+/// the running requests shows it before: all kinds are expected to take longer by the factor by
+/// which those that run are older than their average. Long runs of one kind are no sign that another
+/// kind has become slow.
 #[derive(Clone, Debug)]
 pub struct RunTimes {
     origin: Instant,
-    /// Average by rank, first of requests that are not idempotent.
-    kinds: [[Option<Duration>; RANKS]; 2],
+    /// By rank, first of requests that are not idempotent.
+    kinds: [[KindTimes; RANKS]; 2],
     overall: Option<Duration>,
+}
+
+/// Run times of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct KindTimes {
+    average: Option<Duration>,
     running: u32,
     /// Sum of the starts of the running requests, each as the time since `origin`.
     starts: Duration,
@@ -34,29 +42,30 @@
     pub fn new(origin: Instant) -> Self {
         Self {
             origin,
-            kinds: [[None; RANKS]; 2],
+            kinds: Default::default(),
             overall: None,
-            running: 0,
-            starts: Duration::ZERO,
         }
     }
 
     /// Records the start of a request.
-    pub fn start(&mut self, now: Instant) {
-        self.running += 1;
-        self.starts += now.saturating_duration_since(self.origin);
+    pub fn start(&mut self, kind: Kind, now: Instant) {
+        let start = now.saturating_duration_since(self.origin);
+        let times = self.times_mut(kind);
+        times.running += 1;
+        times.starts += start;
     }
 
     /// Records the end of a request that started at `started_at`.
-    pub fn end(&mut self, started_at: Instant) {
-        self.running = self.running.saturating_sub(1);
+    pub fn end(&mut self, kind: Kind, started_at: Instant) {
         let start = started_at.saturating_duration_since(self.origin);
-        self.starts = self.starts.saturating_sub(start);
+        let times = self.times_mut(kind);
+        times.running = times.running.saturating_sub(1);
+        times.starts = times.starts.saturating_sub(start);
     }
 
     /// Records the run time of a request that completed.
     pub fn observe(&mut self, kind: Kind, run: Duration) {
-        average_in(self.kind_mut(kind), run);
+        average_in(&mut self.times_mut(kind).average, run);
         average_in(&mut self.overall, run);
     }
 
@@ -65,27 +74,44 @@
     pub fn expected(&self, kind: Kind, now: Instant) -> Option<Duration> {
         let [once, repeatable] = &self.kinds;
         let kinds = if kind.idempotent { repeatable } else { once };
-        self.at_least_mean_age(kinds[rank_index(kind)].or(self.overall), now)
+        self.slowed(kinds[rank_index(kind)].average.or(self.overall), now)
     }
 
     /// Returns the expected run time of any request; `None` before the first observation.
     #[must_use]
     pub fn expected_overall(&self, now: Instant) -> Option<Duration> {
-        self.at_least_mean_age(self.overall, now)
+        self.slowed(self.overall, now)
     }
 
-    fn kind_mut(&mut self, kind: Kind) -> &mut Option<Duration> {
+    fn times_mut(&mut self, kind: Kind) -> &mut KindTimes {
         let [once, repeatable] = &mut self.kinds;
         let kinds = if kind.idempotent { repeatable } else { once };
         &mut kinds[rank_index(kind)]
     }
 
-    fn at_least_mean_age(&self, average: Option<Duration>, now: Instant) -> Option<Duration> {
-        let age = (self.running >= MIN_RUNNING).then(|| {
-            let since_origin = now.saturating_duration_since(self.origin);
-            since_origin.saturating_sub(self.starts / self.running)
-        });
-        average.max(age)
+    /// Returns an average, prolonged if the requests that run are older than theirs.
+    ///
+    /// Without an average, the mean age of the requests that run is the least that is expected.
+    fn slowed(&self, average: Option<Duration>, now: Instant) -> Option<Duration> {
+        let since_origin = now.saturating_duration_since(self.origin);
+        let mut running = 0;
+        let mut ages = Duration::ZERO;
+        let mut expected = Duration::ZERO;
+        for times in self.kinds.iter().flatten() {
+            running += times.running;
+            ages += (since_origin * times.running).saturating_sub(times.starts);
+            expected += times.average.or(self.overall).unwrap_or_default() * times.running;
+        }
+        if running < MIN_RUNNING {
+            return average;
+        }
+        let Some(average) = average else {
+            return Some(ages / running);
+        };
+        if ages <= expected || expected.is_zero() {
+            return Some(average);
+        }
+        Some(average.mul_f64(ages.div_duration_f64(expected)))
     }
 }
 
--- a/crates/lentilshunt-core/src/overload/waiting.rs
+++ b/crates/lentilshunt-core/src/overload/waiting.rs
@@ -126,9 +126,9 @@
     }
 
     /// Records that a request starts.
-    pub fn start(&mut self, now: Instant) {
+    pub fn start(&mut self, kind: Kind, now: Instant) {
         self.running += 1;
-        self.run_times.start(now);
+        self.run_times.start(kind, now);
         self.rate_limit.record_start(now);
     }
 
@@ -148,9 +148,9 @@
     }
 
     /// Records that a request that started at `started_at` has left its slot.
-    pub fn end(&mut self, started_at: Instant) {
+    pub fn end(&mut self, kind: Kind, started_at: Instant) {
         self.running = self.running.saturating_sub(1);
-        self.run_times.end(started_at);
+        self.run_times.end(kind, started_at);
     }
 
     /// Removes and returns the next request that takes a free slot or has to be refused.
@@ -165,7 +165,7 @@
         if now > latest_start(&applicant, run, now) {
             return Some(Next::Refuse(request));
         }
-        self.start(now);
+        self.start(applicant.kind, now);
         Some(Next::Start(request))
     }
 
--- a/crates/lentilshunt-core/tests/overload/rate_limit.rs
+++ b/crates/lentilshunt-core/tests/overload/rate_limit.rs
@@ -104,7 +104,7 @@
     };
     let patient = request(MILLISECOND * 800, true);
     assert_eq!(waiting.admit(&patient, now), Admission::Start);
-    waiting.start(now);
+    waiting.start(LOOKUP, now);
     assert_eq!(waiting.free_slots(now), 0);
     // Other endpoints may have a free slot.
     let refused = Admission::Refuse(Reason::RateLimited);
--- a/crates/lentilshunt-core/tests/overload/waiting.rs
+++ b/crates/lentilshunt-core/tests/overload/waiting.rs
@@ -32,7 +32,7 @@
     waiting.resize(1);
     waiting.observe(LOOKUP, MILLISECOND * 100);
     waiting.observe(ORDER, MILLISECOND * 100);
-    waiting.start(now);
+    waiting.start(LOOKUP, now);
     waiting
 }
 
@@ -128,12 +128,12 @@
     for _ in 0..10 {
         if waiting.admit(&request, now) == Admission::Start {
             admitted += 1;
-            waiting.start(now);
+            waiting.start(LOOKUP, now);
             // One trial at a time.
             let second = waiting.admit(&request, now);
             assert!(second == Admission::Start || admitted < 5, "{second:?}");
             waiting.observe(LOOKUP, MILLISECOND * 200);
-            waiting.end(now);
+            waiting.end(LOOKUP, now);
         }
     }
     assert_eq!(admitted, 10);
@@ -146,8 +146,8 @@
     let now = Instant::now();
     let mut waiting: Waiting<()> = Waiting::new(64, now);
     waiting.resize(2);
-    waiting.start(now);
-    waiting.start(now);
+    waiting.start(LOOKUP, now);
+    waiting.start(LOOKUP, now);
     let request = applicant(LOOKUP, now + MILLISECOND * 600, now + MILLISECOND * 1500);
     let mut waiters = 0;
     while let Admission::Wait { .. } = waiting.admit(&request, now) {
@@ -167,7 +167,7 @@
     let _late = waiting.push(wanted_in(MILLISECOND * 250), "late");
     let _prompt = waiting.push(wanted_in(MILLISECOND * 600), "prompt");
     assert_eq!(waiting.next(now), None);
-    waiting.end(now);
+    waiting.end(LOOKUP, now);
     let later = now + MILLISECOND * 200;
     assert_eq!(waiting.next(later), Some(Next::Refuse("late")));
     assert_eq!(waiting.next(later), Some(Next::Start("prompt")));
@@ -210,7 +210,7 @@
     waiting.push(urgent, "urgent");
     let mut order = Vec::new();
     for _ in 0..3 {
-        waiting.end(now);
+        waiting.end(LOOKUP, now);
         order.extend(waiting.next(now));
     }
     let expected = ["urgent", "nested", "first"].map(Next::Start);
--- a/crates/lentilshunt-fake/src/overload/gate.rs
+++ b/crates/lentilshunt-fake/src/overload/gate.rs
@@ -89,7 +89,7 @@
             Self::Product { waiting, tickets } => {
                 let admission = waiting.admit(applicant, now);
                 match admission {
-                    Admission::Start => waiting.start(now),
+                    Admission::Start => waiting.start(applicant.kind, now),
                     Admission::Wait { .. } => {
                         let ticket = waiting.push(*applicant, attempt);
                         tickets.insert((attempt.request, attempt.number), ticket);
@@ -124,7 +124,7 @@
                 if let Some(run) = run {
                     waiting.observe(kind, run);
                 }
-                waiting.end(start);
+                waiting.end(kind, start);
             }
             Self::Baseline(baseline) => {
                 if let Some(run) = run {
--- a/crates/lentilshunt-node/src/relay/gate.rs
+++ b/crates/lentilshunt-node/src/relay/gate.rs
@@ -23,7 +23,7 @@
 /// Slots of the upstream and the requests that wait for one, as [`Waiting`] decides.
 #[derive(Debug)]
 pub(super) struct Gate {
-    waiting: Mutex<Waiting<oneshot::Sender<Slot>>>,
+    waiting: Mutex<Waiting<Waiter>>,
     /// Deadlines of the requests that run.
     deadlines: Mutex<Vec<Instant>>,
     /// Whether a task waits for the next turn under the rate limit.
@@ -34,6 +34,7 @@
 #[derive(Debug)]
 struct Slot {
     gate: Arc<Gate>,
+    kind: Kind,
     started_at: Instant,
 }
 
@@ -44,6 +45,13 @@
     deadline: Instant,
 }
 
+/// Gives a slot to a request that waits.
+#[derive(Debug)]
+struct Waiter {
+    kind: Kind,
+    sender: oneshot::Sender<Slot>,
+}
+
 /// A request that waits, removed when it is dropped.
 struct Position<'a> {
     gate: &'a Gate,
@@ -117,13 +125,14 @@
             let now = Instant::now();
             match waiting.admit(&applicant, now) {
                 Admission::Start => {
-                    waiting.start(now);
-                    return Ok(self.slot(now));
+                    waiting.start(applicant.kind, now);
+                    return Ok(self.slot(applicant.kind, now));
                 }
                 Admission::Refuse(reason) => return Err(reason),
                 Admission::Wait { until } => {
                     let (sender, granted) = oneshot::channel();
-                    let ticket = waiting.push(applicant, sender);
+                    let kind = applicant.kind;
+                    let ticket = waiting.push(applicant, Waiter { kind, sender });
                     self.start_timer(waiting.wake_at(now));
                     (until, ticket, granted)
                 }
@@ -139,13 +148,14 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Waiting<oneshot::Sender<Slot>>> {
+    fn lock(&self) -> MutexGuard<'_, Waiting<Waiter>> {
         lock(&self.waiting)
     }
 
-    fn slot(self: &Arc<Self>, started_at: Instant) -> Slot {
+    fn slot(self: &Arc<Self>, kind: Kind, started_at: Instant) -> Slot {
         Slot {
             gate: Arc::clone(self),
+            kind,
             started_at,
         }
     }
@@ -170,15 +180,17 @@
     }
 
     /// Grants free slots to waiting requests.
-    fn grant(self: &Arc<Self>, mut waiting: MutexGuard<'_, Waiting<oneshot::Sender<Slot>>>) {
+    fn grant(self: &Arc<Self>, mut waiting: MutexGuard<'_, Waiting<Waiter>>) {
         let now = Instant::now();
         let mut unreceived = Vec::new();
         while let Some(next) = waiting.next(now) {
             match next {
                 // If the receiver is gone, the slot is released again below.
-                Next::Start(sender) => unreceived.extend(sender.send(self.slot(now)).err()),
+                Next::Start(Waiter { kind, sender }) => {
+                    unreceived.extend(sender.send(self.slot(kind, now)).err());
+                }
                 // The receiver sees the dropped sender as a refusal.
-                Next::Refuse(sender) => drop(sender),
+                Next::Refuse(waiter) => drop(waiter),
             }
         }
         self.start_timer(waiting.wake_at(now));
@@ -208,7 +220,7 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let mut waiting = self.gate.lock();
-        waiting.end(self.started_at);
+        waiting.end(self.kind, self.started_at);
         self.gate.grant(waiting);
     }
 }
