fix(relay): do not run a request that arrives together with the end of its connection

Cause: a request that was lost on its way arrives again with the close of its connection, after its caller has left. If a connection to the upstream was idle, the handler sent it on before hyper saw the close. Change: a request is handled only after the connection has been polled once more. Documentation links.

--- a/crates/lentilshunt-node/src/relay/ahead/mod.rs
+++ b/crates/lentilshunt-node/src/relay/ahead/mod.rs
@@ -1,7 +1,7 @@
 //! Starts requests that a client sends before earlier ones have been answered.
 //!
-//! hyper handles the requests of a connection one after the other. A [`Reader`] passes the bytes of
-//! the client on to it and shows them to a [`Scanner`]; the [`Queue`] starts the requests found that
+//! hyper handles the requests of a connection one after the other. A reader passes the bytes of
+//! the client on to it and shows them to a [`Scanner`]; a queue starts the requests found that
 //! may start early and keeps their responses until hyper comes to them.
 
 mod buffer;
--- a/crates/lentilshunt-node/src/relay/server.rs
+++ b/crates/lentilshunt-node/src/relay/server.rs
@@ -25,6 +25,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
+    task::yield_now,
 };
 use tokio_util::task::TaskTracker;
 
@@ -255,20 +256,23 @@
 impl Exchange {
     /// Handles a request, or waits for the response if it was started before its turn.
     async fn respond(&self, mut request: Request<Incoming>) -> Response<Body> {
-        let Some(queue) = &self.queue else {
-            request.extensions_mut().insert(self.client);
-            return self.handler.handle(request).await;
-        };
-        let early = queue.take(&request);
+        let early = self.queue.as_ref().and_then(|queue| queue.take(&request));
         request.extensions_mut().insert(self.client);
         let response = match early {
             Some(early) => early
                 .response()
                 .await
                 .unwrap_or_else(|| status_response(StatusCode::BAD_GATEWAY)),
-            None => self.handler.handle(request).await,
+            None => {
+                // Lets hyper notice a client that has left before its request arrived, as after a
+                // lost packet; it then drops this future.
+                yield_now().await;
+                self.handler.handle(request).await
+            }
         };
-        queue.record_answer();
+        if let Some(queue) = &self.queue {
+            queue.record_answer();
+        }
         response
     }
 }
