refactor(coordination): share the choice of the deciding node and the request to it

Cause: reports of quotas and of roll-outs chose the node and sent to it with the same lines twice. Change: coordination::Client; a test of a coordinator that does not reply. Checked: tests of fleet and relay, linter.

--- a/crates/lentilshunt-node/src/lib.rs
+++ b/crates/lentilshunt-node/src/lib.rs
@@ -18,6 +18,7 @@
 //! | module | purpose |
 //! |---|---|
 //! | [`relay`] | relays requests by traffic rules, with streamed bodies |
+//! | [`coordination`] | sends reports to the node that decides for the fleet |
 //! | [`quota`] | binds the quotas of organisations over all nodes |
 //! | [`rollout`] | brings in new versions of services |
 //! | [`fleet`] | discovers other nodes and receives the traffic rules through a table store |
@@ -25,6 +26,7 @@
 pub mod admin;
 pub mod context;
 pub mod control;
+pub mod coordination;
 pub mod entry;
 pub mod executor;
 pub mod fleet;
--- a/crates/lentilshunt-node/src/quota/reporter.rs
+++ b/crates/lentilshunt-node/src/quota/reporter.rs
@@ -1,33 +1,24 @@
 //! Sends reports of the used quotas to the accountant.
 
 use std::{
-    collections::HashMap,
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use hyper::{Method, Request, Uri};
-use lentilshunt_core::{
-    id::InstanceId,
-    quota::{Reply, Report, Usage},
-};
+use lentilshunt_core::quota::{Reply, Report};
 use slog::{info, warn};
 use tokio::time::sleep;
 
 use super::{Accountant, Meter};
-use crate::relay::{Pool, Shared, body::full};
+use crate::{
+    coordination::{Client, Coordinator},
+    relay::{Pool, Shared},
+};
 
 /// Minimum interval between two reports of a node.
 const MIN_INTERVAL: Duration = Duration::from_millis(250);
 /// Minimum interval between two reports that the accountant gets, on average.
 const INTERVAL_OF_ALL: Duration = Duration::from_micros(2500);
-/// Time limit for the reply.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time for which a node that has not replied is no accountant for this one.
-const COOLDOWN: Duration = Duration::from_secs(3);
-/// Number of nodes that may be accountant, in order of preference.
-const MAX_ACCOUNTANTS: usize = 3;
 
 /// Sends reports of the used quotas to the accountant, and applies its replies.
 #[derive(Debug)]
@@ -35,9 +26,7 @@
     shared: Arc<Shared>,
     meter: Arc<Meter>,
     accountant: Arc<Accountant>,
-    pool: Arc<Pool>,
-    /// Instant until which each node that has not replied is passed over.
-    cooldowns: HashMap<SocketAddr, Instant>,
+    client: Client,
     /// Whether the last report had a reply, for the log.
     has_accountant: bool,
 }
@@ -52,11 +41,10 @@
         pool: Arc<Pool>,
     ) -> Self {
         Self {
+            client: Client::new(Arc::clone(&shared), pool),
             shared,
             meter,
             accountant,
-            pool,
-            cooldowns: HashMap::new(),
             has_accountant: true,
         }
     }
@@ -84,62 +72,38 @@
 
     async fn report(&mut self) {
         let sent_at = Instant::now();
-        let usages = self.meter.lock().take_usages();
         let report = Report {
             node: self.shared.locality.instance.clone(),
-            usages,
+            usages: self.meter.lock().take_usages(),
         };
-        let reply = match self.accountant(sent_at) {
-            Some((instance, _)) if instance == report.node => Some(self.accountant.settle(&report)),
-            Some((_, address)) => {
-                let reply = self.send(address, &report, sent_at).await;
-                if reply.is_none() {
-                    self.cooldowns.insert(address, sent_at + COOLDOWN);
-                }
-                reply
+        let reply = match self.client.coordinator(sent_at) {
+            Some(Coordinator::Local) => Some(self.accountant.settle(&report)),
+            Some(Coordinator::Remote(address)) => {
+                let limit = Accountant::MAX_BYTES;
+                let reply = self
+                    .client
+                    .send(address, Accountant::PATH, &report, limit)
+                    .await;
+                reply.and_then(|reply| self.decode(&reply))
             }
             None => None,
         };
         self.record(reply.is_some());
         match reply {
             Some(reply) => self.meter.lock().apply(&reply, sent_at),
-            None => self.restore(report.usages),
+            None => self.meter.lock().restore_usages(report.usages),
         }
     }
 
-    /// Returns the node to report to, or `None` if none has replied lately.
-    fn accountant(&mut self, now: Instant) -> Option<(InstanceId, SocketAddr)> {
-        self.cooldowns.retain(|_, until| *until > now);
-        let directory = self.shared.directory.load();
-        let candidates = directory.coordinators().iter().take(MAX_ACCOUNTANTS);
-        let mut available = candidates.filter(|(_, address)| !self.cooldowns.contains_key(address));
-        available.next().cloned()
-    }
-
-    async fn send(&self, address: SocketAddr, report: &Report, sent_at: Instant) -> Option<Reply> {
-        let body = rmp_serde::to_vec(report).ok()?;
-        let mut request = Request::new(full(body));
-        *request.method_mut() = Method::POST;
-        *request.uri_mut() = Uri::from_static(Accountant::PATH);
-        let deadline = sent_at + REPLY_TIMEOUT;
-        let fetched = self
-            .pool
-            .fetch(address, request, deadline, Accountant::MAX_BYTES)
-            .await;
-        let problem = match fetched {
-            Ok(response) => match rmp_serde::from_slice(response.body()) {
-                Ok(reply) => return Some(reply),
-                Err(error) => error.to_string(),
-            },
-            Err(error) => error.to_string(),
-        };
-        info!(self.shared.log, "accountant has not replied"; "address" => %address,
-            "problem" => problem);
-        None
-    }
-
-    fn restore(&self, usages: Vec<Usage>) {
-        self.meter.lock().restore_usages(usages);
+    fn decode(&self, reply: &[u8]) -> Option<Reply> {
+        match rmp_serde::from_slice(reply) {
+            Ok(reply) => Some(reply),
+            Err(error) => {
+                info!(self.shared.log, "reply of the accountant cannot be decoded";
+                    "error" => %error);
+                None
+            }
+        }
     }
 
     /// Counts and logs whether there is an accountant.
--- a/crates/lentilshunt-node/src/relay/server.rs
+++ b/crates/lentilshunt-node/src/relay/server.rs
@@ -258,17 +258,14 @@
     async fn respond(&self, mut request: Request<Incoming>) -> Response<Body> {
         let early = self.queue.as_ref().and_then(|queue| queue.take(&request));
         request.extensions_mut().insert(self.client);
-        let response = match early {
-            Some(early) => early
-                .response()
-                .await
-                .unwrap_or_else(|| status_response(StatusCode::BAD_GATEWAY)),
-            None => {
-                // Lets hyper notice a client that has left before its request arrived, as after a
-                // lost packet; it then drops this future.
-                yield_now().await;
-                self.handler.handle(request).await
-            }
+        let response = if let Some(early) = early {
+            let response = early.response().await;
+            response.unwrap_or_else(|| status_response(StatusCode::BAD_GATEWAY))
+        } else {
+            // Lets hyper notice a client that has left before its request arrived, as after a lost
+            // packet; it then drops this future.
+            yield_now().await;
+            self.handler.handle(request).await
         };
         if let Some(queue) = &self.queue {
             queue.record_answer();
--- a/crates/lentilshunt-node/src/rollout/driver.rs
+++ b/crates/lentilshunt-node/src/rollout/driver.rs
@@ -1,31 +1,23 @@
 //! Exchanges reports and plans with the coordinator.
 
 use std::{
-    collections::HashMap,
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use hyper::{Method, Request, Uri};
 use lentilshunt_core::rollout::Report;
 use slog::info;
 use tokio::time::sleep;
 
 use super::{Coordinator, Reply};
 use crate::{
+    coordination::{self, Client},
     fleet::TableStore,
-    relay::{Executor, Pool, Shared, body::full},
+    relay::{Executor, Pool, Shared},
 };
 
 /// Interval between two reports of a node.
 const INTERVAL: Duration = Duration::from_millis(300);
-/// Time limit for the reply.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time for which a node that has not replied is no coordinator for this one.
-const COOLDOWN: Duration = Duration::from_secs(3);
-/// Number of nodes that may be coordinator, in order of preference.
-const MAX_COORDINATORS: usize = 3;
 
 /// Exchanges reports and plans with the coordinator, while an order is open.
 #[derive(Debug)]
@@ -34,9 +26,7 @@
     executor: Arc<Executor>,
     coordinator: Arc<Coordinator>,
     store: Arc<dyn TableStore>,
-    pool: Arc<Pool>,
-    /// Instant until which each node that has not replied is passed over.
-    cooldowns: HashMap<SocketAddr, Instant>,
+    client: Client,
 }
 
 impl Driver {
@@ -50,12 +40,11 @@
         pool: Arc<Pool>,
     ) -> Self {
         Self {
+            client: Client::new(Arc::clone(&shared), pool),
             shared,
             executor,
             coordinator,
             store,
-            pool,
-            cooldowns: HashMap::new(),
         }
     }
 
@@ -78,20 +67,15 @@
 
     async fn report(&mut self, report: Report) {
         let now = Instant::now();
-        self.cooldowns.retain(|_, until| *until > now);
-        let directory = self.shared.directory.load_full();
-        let candidates = directory.coordinators().iter().take(MAX_COORDINATORS);
-        let mut available = candidates.filter(|(_, address)| !self.cooldowns.contains_key(address));
-        let reply = match available.next() {
-            Some((instance, _)) if *instance == report.node => {
-                self.coordinator.settle(report.clone())
-            }
-            Some((_, address)) => {
-                let reply = self.send(*address, &report, now).await;
-                if reply.is_none() {
-                    self.cooldowns.insert(*address, now + COOLDOWN);
-                }
-                reply.flatten()
+        let reply = match self.client.coordinator(now) {
+            Some(coordination::Coordinator::Local) => self.coordinator.settle(report.clone()),
+            Some(coordination::Coordinator::Remote(address)) => {
+                let limit = Coordinator::MAX_BYTES;
+                let reply = self
+                    .client
+                    .send(address, Coordinator::PATH, &report, limit)
+                    .await;
+                reply.and_then(|reply| self.decode(&reply))
             }
             None => None,
         };
@@ -100,29 +84,16 @@
         }
     }
 
-    /// Returns the coordinator's reply; the inner value is `None` if it does not know the order.
-    #[allow(clippy::option_option, reason = "the outer one is for a lost reply")]
-    async fn send(
-        &self,
-        address: SocketAddr,
-        report: &Report,
-        now: Instant,
-    ) -> Option<Option<Reply>> {
-        let body = rmp_serde::to_vec(report).ok()?;
-        let mut request = Request::new(full(body));
-        *request.method_mut() = Method::POST;
-        *request.uri_mut() = Uri::from_static(Coordinator::PATH);
-        let deadline = now + REPLY_TIMEOUT;
-        let fetched = self
-            .pool
-            .fetch(address, request, deadline, Coordinator::MAX_BYTES)
-            .await;
-        match fetched {
-            Ok(response) if response.body().is_empty() => Some(None),
-            Ok(response) => Some(rmp_serde::from_slice(response.body()).ok()),
+    /// Decodes a reply, which is empty if the coordinator does not know the order yet.
+    fn decode(&self, reply: &[u8]) -> Option<Reply> {
+        if reply.is_empty() {
+            return None;
+        }
+        match rmp_serde::from_slice(reply) {
+            Ok(reply) => Some(reply),
             Err(error) => {
-                info!(self.shared.log, "coordinator has not replied"; "address" => %address,
-                    "problem" => %error);
+                info!(self.shared.log, "reply of the coordinator cannot be decoded";
+                    "error" => %error);
                 None
             }
         }
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Tests of node discovery and rules distribution over a scripted store.
 
+mod coordination;
 mod domain;
 mod node_state;
 mod rollout;
