feat(relay): record requests that are dropped and why an attempt is given up

Logs and metrics could not tell apart the hypotheses on requests without a response at a stop: a request whose handler is dropped, since the process ends or its caller leaves, left no line, and an attempt given up on a node that does not respond left none that says how the probe failed.

A dropped request now writes a line with what it waits for and counts as lentilshunt_requests_dropped_total; an abandoned attempt writes how long it waited and the failure of the probe, and counts as lentilshunt_attempts_abandoned_total. No decision changes.

--- a/crates/lentilshunt-core/src/overload/attempts.rs
+++ b/crates/lentilshunt-core/src/overload/attempts.rs
@@ -108,6 +108,12 @@
         }
     }
 
+    /// Returns all instances that the call was sent to, in their order.
+    #[must_use]
+    pub fn all_tried(&self) -> Vec<InstanceId> {
+        [self.tried_before.as_slice(), self.tried.as_slice()].concat()
+    }
+
     /// Records that the request now waits past its target latency, so that instances that have
     /// refused it may be tried again.
     pub fn wait_past_target(&mut self) {
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -13,7 +13,7 @@
     header::{EXPECT, HeaderValue},
 };
 use lentilshunt_core::{
-    id::ServiceId,
+    id::{InstanceId, ServiceId},
     membership::Endpoint,
     overload::{Attempts, Limits, Notices, Outcome, Patience, Step},
     quarantine::{QuarantineStatus, Suspects},
@@ -72,14 +72,25 @@
 /// Progress of one call.
 #[derive(Debug, Default)]
 pub struct Progress {
-    /// Attempts so far.
+    /// Attempts that have ended.
     pub attempts: Attempts,
+    /// Instance of the attempt in flight.
+    pub current: Option<InstanceId>,
     /// Timeout of the request (that of the caller, or the default) in milliseconds, for the log.
     pub requested_timeout_ms: u64,
     /// Whether the request may wait past its target latency, for the log.
     pub is_past_target: bool,
 }
 
+/// A node that has responded neither to requests nor to a probe.
+#[derive(Debug)]
+struct Silence {
+    /// Start of the attempt.
+    since: Instant,
+    /// Why the probe failed.
+    problem: String,
+}
+
 impl Dispatcher {
     /// Creates a dispatcher without observations of endpoints.
     #[must_use]
@@ -156,9 +167,11 @@
                 let reply = last.unwrap_or_else(|| Reply::refused(Reason::NoEndpoint));
                 return finish(reply, progress);
             };
+            progress.current = Some(endpoint.instance.clone());
             let reply = self
                 .attempt(&endpoint, &call, body, admission.as_ref())
                 .await;
+            progress.current = None;
             drop(admission);
             let outcome = Outcome {
                 verdict: reply.verdict,
@@ -319,8 +332,9 @@
             sent = self.pool.send(address, request) => sent,
             // Only idempotent calls can be sent again. A stopping node does not abandon a
             // response that may still arrive.
-            () = self.wait_until_unresponsive(address),
+            silence = self.wait_until_unresponsive(address),
                 if call.idempotent && !self.shared.stop.is_cancelled() => {
+                self.record_silence(endpoint, call, &silence);
                 return Reply::unknown(Reason::ConnectionLost);
             }
         };
@@ -353,7 +367,7 @@
     }
 
     /// Completes once a node has responded neither to requests nor to a probe.
-    async fn wait_until_unresponsive(&self, address: SocketAddr) {
+    async fn wait_until_unresponsive(&self, address: SocketAddr) -> Silence {
         let since = Instant::now();
         sleep(PROBE_DELAY).await;
         loop {
@@ -365,15 +379,42 @@
                 *request.uri_mut() = Uri::from_static(PROBE_PATH);
                 let deadline = Instant::now() + PROBE_TIMEOUT;
                 let probe = timeout_at(deadline.into(), self.pool.send(address, request)).await;
-                match probe {
-                    Ok(Ok(_response)) => self.record_response(address),
-                    Ok(Err(_)) | Err(_) => return,
+                let problem = match probe {
+                    Ok(Ok(_response)) => {
+                        self.record_response(address);
+                        None
+                    }
+                    Ok(Err(failure)) => Some(failure.to_string()),
+                    Err(elapsed) => Some(elapsed.to_string()),
+                };
+                if let Some(problem) = problem {
+                    return Silence { since, problem };
                 }
             }
             sleep(PROBE_DELAY * 2).await;
         }
     }
 
+    /// Counts and logs an attempt that is given up because its node does not respond.
+    fn record_silence(&self, endpoint: &Endpoint, call: &Call, silence: &Silence) {
+        metrics::counter!("lentilshunt_attempts_abandoned_total").increment(1);
+        let now = Instant::now();
+        if !self
+            .log_limiter
+            .allows(Level::Warning, now, &self.shared.log)
+        {
+            return;
+        }
+        let waited = now.saturating_duration_since(silence.since);
+        warn!(self.shared.log, "node does not respond, attempt abandoned";
+            "request" => &call.request_id,
+            "node" => &endpoint.instance,
+            "waited_ms" => u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
+            "probe" => &silence.problem,
+            "stopping" => self.shared.stop.is_cancelled(),
+        );
+    }
+
     fn last_response(&self, address: SocketAddr) -> Option<Instant> {
         let last_responses = lock(&self.last_responses);
         last_responses.get(&address).copied()
--- a/crates/lentilshunt-node/src/relay/outbound.rs
+++ b/crates/lentilshunt-node/src/relay/outbound.rs
@@ -61,6 +61,24 @@
     log_limiter: LogLimiter,
 }
 
+/// A request that is handled; recorded as dropped if that ends early.
+struct Pending<'a> {
+    outbound: &'a Outbound,
+    id: &'a str,
+    arrived_at: Moment,
+    progress: Progress,
+    has_ended: bool,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.outbound
+                .record_dropped(self.id, &self.progress, self.arrived_at);
+        }
+    }
+}
+
 /// A parsed request with its route.
 struct ParsedRequest {
     call: Call,
@@ -92,7 +110,14 @@
             request.headers(),
             self.shared.header_names.request_id.as_str(),
         );
-        let mut progress = Progress::default();
+        let mut pending = Pending {
+            outbound: self,
+            id: &id,
+            arrived_at,
+            progress: Progress::default(),
+            has_ended: false,
+        };
+        let progress = &mut pending.progress;
         let mut remaining = Duration::ZERO;
         let (route, reply) = match self.parse(request, arrived_at, &id).await {
             Ok(ParsedRequest {
@@ -106,25 +131,49 @@
                 progress.requested_timeout_ms =
                     requested_timeout.as_millis().try_into().unwrap_or(u64::MAX);
                 let reply = self
-                    .dispatch(
-                        &call,
-                        payload,
-                        &route,
-                        organisation.as_deref(),
-                        &mut progress,
-                    )
+                    .dispatch(&call, payload, &route, organisation.as_deref(), progress)
                     .await;
                 remaining = call.remaining();
                 (Some(route), reply)
             }
             Err(reason) => (None, Reply::refused(reason)),
         };
-        self.record(&id, route.as_deref(), &reply, &progress, arrived_at);
+        pending.has_ended = true;
+        let progress = &pending.progress;
+        self.record(&id, route.as_deref(), &reply, progress, arrived_at);
         let requested_timeout = Duration::from_millis(progress.requested_timeout_ms);
         let stream_deadline = arrived_at.instant() + requested_timeout + STREAM_GRACE;
         into_response(reply, remaining).map(|body| expiring::with_deadline(body, stream_deadline))
     }
 
+    /// Counts and logs a request whose handling was dropped, which its caller gets no response to.
+    fn record_dropped(&self, id: &str, progress: &Progress, arrived_at: Moment) {
+        let cause = if self.shared.stop.is_cancelled() {
+            "stopping"
+        } else {
+            "caller-left"
+        };
+        metrics::counter!("lentilshunt_requests_dropped_total", "cause" => cause).increment(1);
+        let now = Instant::now();
+        if !self
+            .log_limiter
+            .allows(Level::Warning, now, &self.shared.log)
+        {
+            return;
+        }
+        let attempts = &progress.attempts;
+        info!(self.shared.log, "request dropped without a response";
+            "request" => id,
+            "cause" => cause,
+            "tried" => attempts.all_tried().join(","),
+            "sent" => attempts.upstream_attempts,
+            "waits_for" => progress.current.as_deref(),
+            "given_ms" => progress.requested_timeout_ms,
+            "late" => progress.is_past_target,
+            "elapsed_ms" => u64::try_from(arrived_at.elapsed().as_millis()).unwrap_or(u64::MAX),
+        );
+    }
+
     /// Sends a call to endpoints, if its organisation has not used up its quota.
     async fn dispatch(
         &self,
@@ -265,7 +314,7 @@
         }
         // Selects the rate limit only; the line is always logged at level info.
         let attempts = &progress.attempts;
-        let tried = [attempts.tried_before.as_slice(), attempts.tried.as_slice()].concat();
+        let tried = attempts.all_tried();
         let level = if reply.reason.is_some() || tried.len() > 1 {
             Level::Warning
         } else {
