test(relay): show requests that get no response when a node stops

Callers saw connections that ended without a response, and their requests given up, when a node was told to stop.

--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod domain;
 mod node_state;
 mod rollout;
+mod stop;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/lentilshunt-node/tests/relay/call.rs
+++ b/crates/lentilshunt-node/tests/relay/call.rs
@@ -298,12 +298,19 @@
 /// Calls a node whose peer accepts connections without responding.
 ///
 /// Returns the status of the response and the elapsed time.
-async fn call_with_unresponsive_peer(is_stopping: bool) -> (StatusCode, Duration) {
+async fn call_with_unresponsive_peer(stops_after: Option<Duration>) -> (StatusCode, Duration) {
     let nodes = nodes(2).await;
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     redirect_peers(&nodes, listener.local_addr().unwrap());
-    if is_stopping {
-        nodes[0].stop.cancel();
+    if let Some(delay) = stops_after {
+        let stop = nodes[0].stop.clone();
+        if delay.is_zero() {
+            stop.cancel();
+        }
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            stop.cancel();
+        });
     }
     let started_at = Instant::now();
     let response = call(&nodes[0], "/x", &[], empty()).await;
@@ -313,15 +320,20 @@
 /// An idempotent call fails after the probe (350 + 600 ms), before the route timeout of 1.5 s.
 #[tokio::test]
 async fn call_with_unresponsive_node() {
-    let (status, elapsed) = call_with_unresponsive_peer(false).await;
+    let (status, elapsed) = call_with_unresponsive_peer(None).await;
     assert_eq!(status, StatusCode::BAD_GATEWAY);
     assert!(elapsed < Duration::from_millis(1300), "{elapsed:?}");
 }
 
+// A stopping node waits for a response that may still arrive; it did not if the call had begun
+// before the node was told to stop.
+#[rstest]
+#[case::stopped_before(Duration::ZERO)]
+#[case::stopped_during_call(Duration::from_millis(200))]
+#[case::stopped_during_probe(Duration::from_millis(500))]
 #[tokio::test]
-async fn call_on_stopping_node_with_unresponsive_node() {
-    // A stopping node waits for a response that may still arrive.
-    let (status, elapsed) = call_with_unresponsive_peer(true).await;
+async fn call_on_stopping_node_with_unresponsive_node(#[case] stops_after: Duration) {
+    let (status, elapsed) = call_with_unresponsive_peer(Some(stops_after)).await;
     assert_eq!(status, StatusCode::GATEWAY_TIMEOUT);
     assert!(elapsed >= Duration::from_millis(1500), "{elapsed:?}");
 }
--- a/crates/lentilshunt-node/tests/relay/pipelined.rs
+++ b/crates/lentilshunt-node/tests/relay/pipelined.rs
@@ -117,6 +117,30 @@
     assert_eq!(received_paths(&nodes), ["/paced/0"]);
 }
 
+// A request that has started before its turn got no response if the node was told to stop.
+#[tokio::test]
+async fn call_ahead_before_stop() {
+    let nodes = nodes(4).await;
+    let mut stream = send(&nodes[0], &["/paced/0", "/paced/1", "/paced/2"]).await;
+    sleep(Duration::from_millis(60)).await;
+    assert_eq!(received_paths(&nodes).len(), 3);
+    nodes[0].stop.cancel();
+    let mut responses = String::new();
+    stream.read_to_string(&mut responses).await.unwrap();
+    let bodies: Vec<_> = responses
+        .lines()
+        .filter(|line| line.starts_with("response to"))
+        .map(|line| line.split("HTTP").next().unwrap_or_default())
+        .collect();
+    let expected = [
+        "response to /paced/0",
+        "response to /paced/1",
+        "response to /paced/2",
+    ];
+    assert_eq!(bodies, expected, "{responses}");
+    assert_eq!(responses.matches("connection: close").count(), 1);
+}
+
 #[rstest]
 #[case("transfer-encoding: chunked")]
 #[case("connection: close")]
