fix(relay): answer requests that have started before their turn when a node stops

Callers that send requests ahead on one connection lost those behind the first when a node was told to stop: it asks to close the connection with the next response, and hyper then drops the handling of the others, although upstreams run them.

Cause: whether a response is the last of its connection was decided without regard to the requests that have started behind it. A response now asks to close only once none has, and the connection is left to that response when the server closes.

--- a/crates/lentilshunt-node/src/relay/ahead/queue.rs
+++ b/crates/lentilshunt-node/src/relay/ahead/queue.rs
@@ -142,6 +142,12 @@
         is_same.then_some(early)
     }
 
+    /// Returns whether a request that hyper has not come to has started.
+    pub(in crate::relay) fn has_early(&self) -> bool {
+        let state = lock(&self.state);
+        state.waiting.iter().any(|waiting| waiting.early.is_some())
+    }
+
     /// Records that the request that hyper came to last has a response.
     pub(in crate::relay) fn record_answer(&self) {
         lock(&self.state).answered += 1;
--- a/crates/lentilshunt-node/src/relay/server.rs
+++ b/crates/lentilshunt-node/src/relay/server.rs
@@ -254,6 +254,11 @@
 }
 
 impl Exchange {
+    /// Returns whether a request has started before its turn, whose response is still to come.
+    fn has_early(&self) -> bool {
+        self.queue.as_ref().is_some_and(|queue| queue.has_early())
+    }
+
     /// Handles a request, or waits for the response if it was started before its turn.
     async fn respond(&self, mut request: Request<Incoming>) -> Response<Body> {
         let early = self.queue.as_ref().and_then(|queue| queue.take(&request));
@@ -290,7 +295,7 @@
         async move {
             let _guard = guard;
             let mut response = exchange.respond(request).await;
-            if draining.is_cancelled() {
+            if draining.is_cancelled() && !exchange.has_early() {
                 let headers = response.headers_mut();
                 headers.insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -315,7 +320,10 @@
         // A client that closes early is not an error of the server.
         _ended = connection.as_mut() => {}
         () = closing => {
-            connection.as_mut().graceful_shutdown();
+            // The response to the last request that has started early closes the connection.
+            if !exchange.has_early() {
+                connection.as_mut().graceful_shutdown();
+            }
             drop(connection.await);
         }
     }
