fix(relay): do not give up an attempt that began before the node was told to stop

Cause: an attempt is given up when its node does not respond to a probe, which a stopping node is meant not to do. The guard was a precondition of select!, which is evaluated once, when the wait begins, so that an attempt from before the signal kept its probe. The stop is now a branch of the wait itself.

call_on_stopping_node_with_unresponsive_node failed before in its cases stopped_during_call and stopped_during_probe (502 in place of 504 at the deadline); both pass.

Checked: tests of the relay.

--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -330,10 +330,8 @@
         let sent = tokio::select! {
             biased;
             sent = self.pool.send(address, request) => sent,
-            // Only idempotent calls can be sent again. A stopping node does not abandon a
-            // response that may still arrive.
-            silence = self.wait_until_unresponsive(address),
-                if call.idempotent && !self.shared.stop.is_cancelled() => {
+            // Only idempotent calls can be sent again.
+            silence = self.wait_until_unresponsive(address), if call.idempotent => {
                 self.record_silence(endpoint, call, &silence);
                 return Reply::unknown(Reason::ConnectionLost);
             }
@@ -367,7 +365,18 @@
     }
 
     /// Completes once a node has responded neither to requests nor to a probe.
+    ///
+    /// Does not complete once this node is told to stop: it does not abandon a response that may
+    /// still arrive.
     async fn wait_until_unresponsive(&self, address: SocketAddr) -> Silence {
+        tokio::select! {
+            biased;
+            () = self.shared.stop.cancelled() => std::future::pending().await,
+            silence = self.probe_until_unresponsive(address) => silence,
+        }
+    }
+
+    async fn probe_until_unresponsive(&self, address: SocketAddr) -> Silence {
         let since = Instant::now();
         sleep(PROBE_DELAY).await;
         loop {
@@ -411,7 +420,6 @@
             "node" => &endpoint.instance,
             "waited_ms" => u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
             "probe" => &silence.problem,
-            "stopping" => self.shared.stop.is_cancelled(),
         );
     }
 
