fix(fleet): respond to every request before the process of a stopping node ends

Cause: the deadline of a request is fixed on its arrival, that of the process is known only once it is told to stop. The shutdown waited for requests until its own deadline and then ended the process under those that still waited for a slot or ran.

relay::Lifetime holds the time that is left. Attempts that begin after the signal have no later deadline, so that queues refuse what cannot run in time; 0.5 s before the end of the period the handling of what is left ends with not-run, or with may-have-run if an upstream may have it, on the nodes of callers and on those beside upstreams. A request without time left is refused before it is sent anywhere. That calls of other nodes are refused is part of the same state, in place of a token of its own.

run_stopped_with_requests_beyond_grace_period failed before with statuses (0, 0, 503) and passes with (504, 503, 503).

Checked: linter, tests of the relay and of the fleet.

--- a/crates/lentilshunt-node/src/fleet/lifecycle.rs
+++ b/crates/lentilshunt-node/src/fleet/lifecycle.rs
@@ -36,8 +36,8 @@
     executor::lock,
     quota::{Accountant, Meter, Reporter},
     relay::{
-        Directory, Dispatcher, Executor, Handler, HeaderLimits, Inbound, Outbound, Pool, Server,
-        Shared,
+        Directory, Dispatcher, Executor, Handler, HeaderLimits, Inbound, Lifetime, Outbound, Pool,
+        Server, Shared,
     },
     rollout::{Coordinator, Driver, Rollouts},
 };
@@ -91,7 +91,9 @@
 ///
 /// Callers leave after two failed readiness checks, one second apart.
 const SHUTDOWN_NOTICE: Duration = Duration::from_millis(2500);
-/// Time before the end of the grace period at which the shutdown no longer waits for requests.
+/// Time before the drain deadline at which requests in flight get their response.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
+/// Time before the end of the grace period at which the shutdown no longer waits for connections.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 
 /// Runs a relaying node until `stop` is cancelled and its requests have ended, or
@@ -122,12 +124,10 @@
     );
     let installer = Arc::new(installer);
     let feeds = Arc::new(Feeds::new(Arc::clone(&cache), Arc::clone(&installer)));
-    let refuse_calls = CancellationToken::new();
     let deciders = Deciders::new(&settings, &shared, &codec);
     let peer_services = PeerServices {
         feeds,
         deciders: deciders.clone(),
-        refuse_calls: refuse_calls.clone(),
     };
     let (handlers, executor, records) =
         build_handlers(&settings, &shared, &codec, peer_services, &pool);
@@ -173,19 +173,34 @@
 
     stop.cancelled().await;
     let drain_deadline = Instant::now() + settings.grace_period.saturating_sub(GRACE_MARGIN);
+    let respond_by = drain_deadline
+        .checked_sub(RESPONSE_MARGIN)
+        .unwrap_or(drain_deadline);
+    shared.lifetime.end_at(respond_by);
     info!(log, "node stopping"; "in_flight" => callers.in_flight() + peers.in_flight());
     sleep(PEER_SERVICE_TIME).await;
-    refuse_calls.cancel();
+    shared.lifetime.refuse_calls();
     sleep(SHUTDOWN_NOTICE.saturating_sub(PEER_SERVICE_TIME)).await;
     let last_request_at = drain_deadline.checked_sub(LAST_REQUEST_MARGIN);
     callers.wait_until_idle(last_request_at).await;
     request_shutdown.closed.cancel();
+    let in_flight = (Arc::clone(&callers.in_flight), Arc::clone(&peers.in_flight));
     let drained = async {
         drop(callers.task.await);
         drop(peers.task.await);
     };
-    if timeout_at(drain_deadline.into(), drained).await.is_err() {
-        warn!(log, "shutdown deadline reached with requests in flight");
+    tokio::pin!(drained);
+    if timeout_at(respond_by.into(), drained.as_mut())
+        .await
+        .is_err()
+    {
+        let (callers, peers) = in_flight;
+        warn!(log, "requests in flight at the end of the grace period";
+            "callers" => callers.load(Ordering::Relaxed), "peers" => peers.load(Ordering::Relaxed));
+        shared.lifetime.end();
+        if timeout_at(drain_deadline.into(), drained).await.is_err() {
+            warn!(log, "shutdown deadline reached with open connections");
+        }
     }
     for task in tasks {
         task.abort();
@@ -205,8 +220,6 @@
 struct PeerServices {
     feeds: Arc<Feeds>,
     deciders: Deciders,
-    /// Cancelled when calls of other nodes are no longer accepted.
-    refuse_calls: CancellationToken,
 }
 
 /// What decides for the whole fleet on one of its nodes.
@@ -316,7 +329,6 @@
         deciders.accountant,
         deciders.coordinator,
         peer_services.feeds,
-        peer_services.refuse_calls,
     );
     let (records, published) = watch::channel(None);
     // A random number suffices, as it only distinguishes starts of the node; the
@@ -446,6 +458,7 @@
         rollouts: Rollouts::new(settings.rollouts.allowed_share > 0),
         newest_version: watch::Sender::default(),
         stop,
+        lifetime: Lifetime::default(),
         log,
     }
 }
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -91,6 +91,18 @@
     problem: String,
 }
 
+impl Progress {
+    /// Returns the reply to a call whose handling ends before its result.
+    #[must_use]
+    pub fn interrupted(&self) -> Reply {
+        if self.current.is_some() || self.attempts.may_have_run {
+            Reply::unknown(Reason::Deadline)
+        } else {
+            Reply::refused(Reason::Draining)
+        }
+    }
+}
+
 impl Dispatcher {
     /// Creates a dispatcher without observations of endpoints.
     #[must_use]
@@ -139,6 +151,14 @@
         let mut call = Cow::Borrowed(call);
         let mut last: Option<Reply> = None;
         loop {
+            let deadline = self.shared.lifetime.limit(call.deadline);
+            if deadline < call.deadline {
+                call.to_mut().deadline = deadline;
+            }
+            if call.remaining().is_zero() {
+                let reply = last.unwrap_or_else(|| Reply::refused(Reason::Deadline));
+                return finish(reply, progress);
+            }
             let limits = Limits {
                 upstream_attempts: max_upstream_attempts,
                 idempotent: call.idempotent,
--- a/crates/lentilshunt-node/src/relay/inbound.rs
+++ b/crates/lentilshunt-node/src/relay/inbound.rs
@@ -10,7 +10,6 @@
 };
 use lentilshunt_net::BoxFuture;
 use tokio::time::timeout_at;
-use tokio_util::sync::CancellationToken;
 
 use crate::{quota::Accountant, rollout::Coordinator};
 
@@ -39,17 +38,14 @@
     accountant: Arc<Accountant>,
     coordinator: Arc<Coordinator>,
     fallback: Arc<dyn Handler>,
-    refuse_calls: CancellationToken,
 }
 
 impl Inbound {
     /// Creates the handler.
     ///
     /// All nodes of a deployment listen for each other on `peer_port`. Requests that
-    /// are neither calls, probes nor suspicions go to `fallback`. Calls are
-    /// refused once `refuse_calls` is cancelled.
+    /// are neither calls, probes nor suspicions go to `fallback`.
     #[must_use]
-    #[allow(clippy::too_many_arguments, reason = "each is a component of its own")]
     pub fn new(
         shared: Arc<Shared>,
         executor: Arc<Executor>,
@@ -58,7 +54,6 @@
         accountant: Arc<Accountant>,
         coordinator: Arc<Coordinator>,
         fallback: Arc<dyn Handler>,
-        refuse_calls: CancellationToken,
     ) -> Self {
         Self {
             shared,
@@ -68,7 +63,6 @@
             accountant,
             coordinator,
             fallback,
-            refuse_calls,
         }
     }
 
@@ -85,14 +79,16 @@
         if let Some(known) = &known {
             self.executor.apply_notice(known);
         }
-        let reply = if self.refuse_calls.is_cancelled() {
+        let lifetime = &self.shared.lifetime;
+        let reply = if lifetime.is_refusing_calls() {
             // Not `Draining`, because other nodes would still avoid the endpoint after a restart,
             // while its record is unchanged.
             Reply::refused(Reason::NotReady)
         } else {
-            match read_body(&call, request.into_body()).await {
-                Ok(body) => self.executor.execute(&call, body).await,
-                Err(reason) => Reply::refused(reason),
+            tokio::select! {
+                biased;
+                reply = self.execute(&call, request.into_body()) => reply,
+                () = lifetime.ended() => Reply::unknown(Reason::Deadline),
             }
         };
         let notice = self.executor.notice();
@@ -106,6 +102,13 @@
         write_reply(reply, self.executor.free_slots(), self.shared.version())
     }
 
+    async fn execute(&self, call: &Call, body: Incoming) -> Reply {
+        match read_body(call, body).await {
+            Ok(body) => self.executor.execute(call, body).await,
+            Err(reason) => Reply::refused(reason),
+        }
+    }
+
     /// Handles probes and suspicions, and passes other requests to the fallback.
     async fn handle_other(&self, request: Request<Incoming>) -> Response<Body> {
         if request.uri().path() == PROBE_PATH {
--- /dev/null
+++ b/crates/lentilshunt-node/src/relay/lifetime.rs
@@ -0,0 +1,56 @@
+//! The end of a node's process, once it has been told to stop.
+
+use std::{sync::OnceLock, time::Instant};
+
+use tokio_util::sync::CancellationToken;
+
+/// The time that is left for requests, which is unlimited until the node is told to stop.
+///
+/// The deadline of a request is known when it arrives, the end of the process only later. What
+/// waits for a request therefore also waits for the end.
+#[derive(Debug, Default)]
+pub struct Lifetime {
+    respond_by: OnceLock<Instant>,
+    refusing: CancellationToken,
+    over: CancellationToken,
+}
+
+impl Lifetime {
+    /// Sets the time by which each request must have its response; only the first call counts.
+    pub fn end_at(&self, respond_by: Instant) {
+        self.respond_by.get_or_init(|| respond_by);
+    }
+
+    /// Refuses calls of other nodes, and all that wait for the local upstream, from now on.
+    pub fn refuse_calls(&self) {
+        self.refusing.cancel();
+    }
+
+    /// Ends the handling of all requests.
+    pub fn end(&self) {
+        self.over.cancel();
+    }
+
+    /// Returns the deadline, or the end of the process if that is earlier.
+    #[must_use]
+    pub fn limit(&self, deadline: Instant) -> Instant {
+        let respond_by = self.respond_by.get();
+        respond_by.map_or(deadline, |respond_by| deadline.min(*respond_by))
+    }
+
+    /// Returns whether calls of other nodes are refused.
+    #[must_use]
+    pub fn is_refusing_calls(&self) -> bool {
+        self.refusing.is_cancelled()
+    }
+
+    /// Completes once nothing waits for the local upstream any more.
+    pub async fn refusing_calls(&self) {
+        self.refusing.cancelled().await;
+    }
+
+    /// Completes once the handling of all requests ends.
+    pub async fn ended(&self) {
+        self.over.cancelled().await;
+    }
+}
--- a/crates/lentilshunt-node/src/relay/mod.rs
+++ b/crates/lentilshunt-node/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //! | [`Dispatcher`] | sends the attempts of a call to the local executor or to other nodes |
 //! | [`Inbound`] | accepts requests of other nodes |
 //! | [`Executor`] | runs calls on the local upstream, or refuses them |
+//! | [`Lifetime`] | limits the time of all requests once the node is told to stop |
 //! | [`Pool`], [`Server`] | HTTP connections with streaming bodies |
 
 pub mod ahead;
@@ -23,6 +24,7 @@
 mod header_names;
 mod inbound;
 mod lent_body;
+mod lifetime;
 mod log_limiter;
 mod node_headers;
 mod notifier;
@@ -40,6 +42,7 @@
 pub use executor::Executor;
 pub use header_names::HeaderNames;
 pub use inbound::Inbound;
+pub use lifetime::Lifetime;
 pub use log_limiter::LogLimiter;
 pub use notifier::Notifier;
 pub use outbound::Outbound;
--- a/crates/lentilshunt-node/src/relay/outbound.rs
+++ b/crates/lentilshunt-node/src/relay/outbound.rs
@@ -61,6 +61,14 @@
     log_limiter: LogLimiter,
 }
 
+/// Result of the handling of a request.
+struct Handled {
+    route: Option<Arc<Route>>,
+    reply: Reply,
+    /// Time that the request has left.
+    remaining: Duration,
+}
+
 /// A request that is handled; recorded as dropped if that ends early.
 struct Pending<'a> {
     outbound: &'a Outbound,
@@ -70,6 +78,14 @@
     has_ended: bool,
 }
 
+impl Pending<'_> {
+    /// Returns the time that the caller still waits.
+    fn remaining(&self) -> Duration {
+        let timeout = Duration::from_millis(self.progress.requested_timeout_ms);
+        timeout.saturating_sub(self.arrived_at.elapsed())
+    }
+}
+
 impl Drop for Pending<'_> {
     fn drop(&mut self) {
         if !self.has_ended {
@@ -117,27 +133,20 @@
             progress: Progress::default(),
             has_ended: false,
         };
-        let progress = &mut pending.progress;
-        let mut remaining = Duration::ZERO;
-        let (route, reply) = match self.parse(request, arrived_at, &id).await {
-            Ok(ParsedRequest {
-                call,
-                payload,
-                route,
-                requested_timeout,
-                organisation,
-            }) => {
-                progress.is_past_target = call.is_past_target();
-                progress.requested_timeout_ms =
-                    requested_timeout.as_millis().try_into().unwrap_or(u64::MAX);
-                let reply = self
-                    .dispatch(&call, payload, &route, organisation.as_deref(), progress)
-                    .await;
-                remaining = call.remaining();
-                (Some(route), reply)
-            }
-            Err(reason) => (None, Reply::refused(reason)),
+        let handled = tokio::select! {
+            biased;
+            handled = self.parse_and_dispatch(request, arrived_at, &id, &mut pending.progress) => Some(handled),
+            () = self.shared.lifetime.ended() => None,
         };
+        let Handled {
+            route,
+            reply,
+            remaining,
+        } = handled.unwrap_or_else(|| Handled {
+            route: None,
+            reply: pending.progress.interrupted(),
+            remaining: pending.remaining(),
+        });
         pending.has_ended = true;
         let progress = &pending.progress;
         self.record(&id, route.as_deref(), &reply, progress, arrived_at);
@@ -146,6 +155,42 @@
         into_response(reply, remaining).map(|body| expiring::with_deadline(body, stream_deadline))
     }
 
+    async fn parse_and_dispatch(
+        &self,
+        request: Request<Body>,
+        arrived_at: Moment,
+        id: &str,
+        progress: &mut Progress,
+    ) -> Handled {
+        let ParsedRequest {
+            call,
+            payload,
+            route,
+            requested_timeout,
+            organisation,
+        } = match self.parse(request, arrived_at, id).await {
+            Ok(parsed) => parsed,
+            Err(reason) => {
+                return Handled {
+                    route: None,
+                    reply: Reply::refused(reason),
+                    remaining: Duration::ZERO,
+                };
+            }
+        };
+        progress.is_past_target = call.is_past_target();
+        progress.requested_timeout_ms =
+            requested_timeout.as_millis().try_into().unwrap_or(u64::MAX);
+        let reply = self
+            .dispatch(&call, payload, &route, organisation.as_deref(), progress)
+            .await;
+        Handled {
+            route: Some(route),
+            reply,
+            remaining: call.remaining(),
+        }
+    }
+
     /// Counts and logs a request whose handling was dropped, which its caller gets no response to.
     fn record_dropped(&self, id: &str, progress: &Progress, arrived_at: Moment) {
         let cause = if self.shared.stop.is_cancelled() {
--- a/crates/lentilshunt-node/src/relay/shared.rs
+++ b/crates/lentilshunt-node/src/relay/shared.rs
@@ -14,7 +14,7 @@
 use tokio::{sync::watch, time::timeout_at};
 use tokio_util::sync::CancellationToken;
 
-use super::HeaderNames;
+use super::{HeaderNames, Lifetime};
 use crate::rollout::Rollouts;
 
 /// Endpoints of each service, grouped by distance.
@@ -60,6 +60,8 @@
     pub newest_version: watch::Sender<NewestVersion>,
     /// Cancelled when the node starts to shut down.
     pub stop: CancellationToken,
+    /// Time that is left for requests.
+    pub lifetime: Lifetime,
     /// Structured log.
     pub log: Logger,
 }
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -31,7 +31,7 @@
         Registration, Restoration, Row, RowAt, Subscription, TableSnapshot, TableStore,
         TableUpdate, watch_table,
     },
-    relay::{Directory, HeaderNames, Shared, upstream::Report},
+    relay::{Directory, HeaderNames, Lifetime, Shared, upstream::Report},
 };
 use slog::{Discard, Logger, o};
 use tokio::sync::watch;
@@ -223,6 +223,7 @@
         rollouts: Rollouts::default(),
         newest_version: watch::Sender::default(),
         stop: CancellationToken::new(),
+        lifetime: Lifetime::default(),
         log: Logger::root(Discard, o!()),
     })
 }
--- a/crates/lentilshunt-node/tests/fleet/stop.rs
+++ b/crates/lentilshunt-node/tests/fleet/stop.rs
@@ -183,7 +183,7 @@
             ("n0".to_owned(), registration(&settings)),
         ];
         store.rows.lock().unwrap().extend(rows);
-        let (updates, receiver) = watch::channel(settings);
+        let (updates, settings) = watch::channel(settings);
         let stop = CancellationToken::new();
         let stopped = stop.clone();
         // A runtime of its own, whose end closes all connections as that of a process does.
@@ -191,7 +191,7 @@
             let _updates = updates;
             let log = Logger::root(Discard, o!());
             let codec = Arc::new(OneSlotCodec);
-            let running = run(receiver, Arc::new(store), codec, log, stopped);
+            let running = run(settings, Arc::new(store), codec, log, stopped);
             let runtime = Runtime::new().expect("a runtime");
             runtime.block_on(running).expect("free addresses");
         });
--- a/crates/lentilshunt-node/tests/relay/call.rs
+++ b/crates/lentilshunt-node/tests/relay/call.rs
@@ -254,7 +254,7 @@
     let response = call(&nodes[0], "/once/x", &[], empty()).await;
     assert_eq!(response.status, StatusCode::OK);
     assert_eq!(nodes[1].upstream.received.lock().unwrap().len(), 1);
-    nodes[1].refusing.cancel();
+    nodes[1].shared.lifetime.refuse_calls();
     for _ in 0..6 {
         let response = call(&nodes[0], "/once/x", &[], empty()).await;
         assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -28,8 +28,8 @@
 use lentilshunt_net::{BoxFuture, http::Shutdown};
 use lentilshunt_node::fleet::{Codec, DecodeError, Feeds, Installer};
 use lentilshunt_node::relay::{
-    Directory, Dispatcher, Executor, Handler, HeaderLimits, HeaderNames, Inbound, Outbound, Pool,
-    Server, Shared,
+    Directory, Dispatcher, Executor, Handler, HeaderLimits, HeaderNames, Inbound, Lifetime,
+    Outbound, Pool, Server, Shared,
     body::{Body, full},
     header,
     upstream::Report,
@@ -80,8 +80,6 @@
     pub executor: Arc<Executor>,
     pub shared: Arc<Shared>,
     pub stop: CancellationToken,
-    /// Cancelled to make the node refuse calls of other nodes.
-    pub refusing: CancellationToken,
 }
 
 struct RunningGuard(Arc<AtomicUsize>);
@@ -382,6 +380,7 @@
         rollouts: Rollouts::default(),
         newest_version: watch::Sender::default(),
         stop: stop.clone(),
+        lifetime: Lifetime::default(),
         log: Logger::root(Discard, o!()),
     });
     let suspects = Arc::new(Suspects::new(Instant::now()));
@@ -405,7 +404,6 @@
     );
     let outbound = Outbound::new(Arc::clone(&shared), Arc::new(dispatcher), Arc::default());
     let installer = Installer::new(Arc::clone(&shared), Arc::new(UnusedCodec), String::new());
-    let refusing = CancellationToken::new();
     let fallback = Arc::new(Feeds::new(Arc::default(), Arc::new(installer)));
     let inbound = Inbound::new(
         Arc::clone(&shared),
@@ -419,7 +417,6 @@
             Settings::default(),
         )),
         fallback,
-        refusing.clone(),
     );
     Node {
         caller_address: listen(Arc::new(outbound), &stop).await,
@@ -428,7 +425,6 @@
         executor,
         shared,
         stop,
-        refusing,
     }
 }
 
--- a/crates/lentilshunt-node/tests/relay/long_body.rs
+++ b/crates/lentilshunt-node/tests/relay/long_body.rs
@@ -27,7 +27,7 @@
     for _ in 0..6 {
         let nodes = nodes(3).await;
         drain(&nodes[0]);
-        nodes[1].refusing.cancel();
+        nodes[1].shared.lifetime.refuse_calls();
         let body = chunked_body(CHUNKS, CHUNK_BYTES);
         let response = call(&nodes[0], "/once/x", &[], body).await;
         assert_eq!(response.status, StatusCode::OK);
