fix(relay): let no call wait for a slot beside a process that is about to end

A call of another node that waited for a slot at a stopping node kept its place until its own deadline, and was lost with the process if that came first: its caller got 502, although the request had never been sent to an upstream and others had room.

call_waiting_at_node_that_begins_to_refuse failed before (refused after 503 ms, by its target) and passes.

Checked: linter, tests of the relay and of the fleet.

--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -313,7 +313,13 @@
         if let Err(reason) = self.check_ready(call) {
             return Reply::refused(reason);
         }
-        let slot = match self.gate.acquire(call.applicant()).await {
+        let slot = tokio::select! {
+            biased;
+            slot = self.gate.acquire(call.applicant()) => slot,
+            // Another node may have a slot for it in time.
+            () = self.shared.lifetime.refusing_calls() => Err(Reason::NotReady),
+        };
+        let slot = match slot {
             Ok(slot) => slot,
             Err(reason) => return Reply::refused(reason),
         };
