fix(relay): respond with 502 if the handling of a request panics

A panic while a request was handled ended the task of its connection, so that its caller got neither a response nor a refusal, and lost requests behind it on the connection; only requests that had started before their turn got 502. Found by looking for other ways in which a request ends without a response; no panic was seen.

The future of a handler is now polled under catch_unwind; its panic is counted and becomes 502, since the request may have been sent.

run_with_handler_that_panics failed before (no response on the connection, in place of 502 and then 200) and passes.

Checked: linter, tests of the relay.

--- a/crates/lentilshunt-node/src/relay/mod.rs
+++ b/crates/lentilshunt-node/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod authentication;
 pub mod body;
 mod call;
+mod caught;
 pub mod clock;
 mod dispatcher;
 mod executor;
--- a/crates/lentilshunt-node/src/relay/server.rs
+++ b/crates/lentilshunt-node/src/relay/server.rs
@@ -32,6 +32,7 @@
 use super::{
     ahead::{Queue, Reader},
     body::{Body, status_response},
+    caught::Caught,
     pool::configure_socket,
 };
 
@@ -264,14 +265,18 @@
         let early = self.queue.as_ref().and_then(|queue| queue.take(&request));
         request.extensions_mut().insert(self.client);
         let response = if let Some(early) = early {
-            let response = early.response().await;
-            response.unwrap_or_else(|| status_response(StatusCode::BAD_GATEWAY))
+            early.response().await
         } else {
             // Lets hyper notice a client that has left before its request arrived, as after a lost
             // packet; it then drops this future.
             yield_now().await;
-            self.handler.handle(request).await
+            Caught::new(self.handler.handle(request)).await
         };
+        // A handler that has panicked may have sent the request.
+        let response = response.unwrap_or_else(|| {
+            metrics::counter!("lentilshunt_handler_panics_total").increment(1);
+            status_response(StatusCode::BAD_GATEWAY)
+        });
         if let Some(queue) = &self.queue {
             queue.record_answer();
         }
