--- a/crates/lentilshunt-node/tests/relay/call.rs
+++ b/crates/lentilshunt-node/tests/relay/call.rs
@@ -296,6 +296,101 @@
     assert_eq!(run_count(&nodes), 2);
 }
 
+/// Sends a call to the second node, whose slots are taken, and lets `change` happen 200 ms later.
+///
+/// Returns the status of the response and the elapsed time.
+async fn call_waiting_during(nodes: &[Node], change: impl FnOnce(&Node)) -> (StatusCode, Duration) {
+    nodes[0]
+        .executor
+        .apply_report(&report("p1", 2, Phase::Draining), Instant::now());
+    let waiting = async {
+        while nodes[1].upstream.running.load(Ordering::SeqCst) < 2 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let sent_at = Instant::now();
+        let response = call(&nodes[0], "/once/x", &[], empty()).await;
+        (response.status, sent_at.elapsed())
+    };
+    let change = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        change(&nodes[1]);
+    };
+    let (_, _, waited, ()) = tokio::join!(
+        call(&nodes[0], "/slow/1", &[], empty()),
+        call(&nodes[0], "/slow/2", &[], empty()),
+        waiting,
+        change
+    );
+    waited
+}
+
+// A call went on waiting for a slot of an upstream that had begun to drain.
+#[tokio::test]
+async fn call_waiting_at_upstream_that_begins_to_drain() {
+    let nodes = nodes(2).await;
+    let (status, elapsed) = call_waiting_during(&nodes, |node| {
+        let report = report("p1", 2, Phase::Draining);
+        node.executor.apply_report(&report, Instant::now());
+    })
+    .await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(elapsed < Duration::from_millis(400), "{elapsed:?}");
+}
+
+// A call of another node waited beyond the end of the process.
+#[tokio::test]
+async fn call_waiting_at_node_beyond_its_end() {
+    let nodes = nodes(2).await;
+    nodes[1].stop.cancel();
+    let end = Instant::now() + Duration::from_millis(350);
+    nodes[1].shared.lifetime.end_at(end);
+    let (status, elapsed) = call_waiting_during(&nodes, |_node| {}).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(elapsed < Duration::from_millis(400), "{elapsed:?}");
+}
+
+// A call of a local caller was refused although a slot became free long before the process ended.
+#[tokio::test]
+async fn call_of_local_caller_waiting_at_node_that_begins_to_refuse() {
+    let nodes = nodes(1).await;
+    let waiting = async {
+        while nodes[0].upstream.running.load(Ordering::SeqCst) < 2 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        call(&nodes[0], "/once/x", &[], empty()).await.status
+    };
+    let refusal = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        nodes[0].stop.cancel();
+        nodes[0].shared.lifetime.refuse_calls();
+    };
+    let (_, _, status, ()) = tokio::join!(
+        call(&nodes[0], "/lasting/350/1", &[], empty()),
+        call(&nodes[0], "/lasting/350/2", &[], empty()),
+        waiting,
+        refusal
+    );
+    assert_eq!(status, StatusCode::OK);
+}
+
+// The probe of a node whose listener had closed gave up the run that the node still served.
+#[tokio::test]
+async fn call_at_node_that_closes_its_listener() {
+    let nodes = nodes(2).await;
+    nodes[0]
+        .executor
+        .apply_report(&report("p1", 2, Phase::Draining), Instant::now());
+    let closing = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        nodes[1].stop.cancel();
+        nodes[1].shared.lifetime.refuse_calls();
+        nodes[1].closed.cancel();
+    };
+    let (response, ()) = tokio::join!(call(&nodes[0], "/lasting/900", &[], empty()), closing);
+    assert_eq!(response.status, StatusCode::OK);
+    assert_eq!(run_count(&nodes), 1);
+}
+
 /// A response lost by a living upstream is not retried and does not make the request a suspect.
 #[tokio::test]
 async fn call_with_lost_response() {
@@ -368,6 +463,34 @@
     assert!(elapsed >= Duration::from_millis(1500), "{elapsed:?}");
 }
 
+// A run was given up because no second connection to its node could be opened in time, as on a
+// link that is full.
+#[tokio::test]
+async fn call_at_node_that_accepts_no_further_connection() {
+    let nodes = nodes(2).await;
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(0).unwrap();
+    let address = listener.local_addr().unwrap();
+    let peer_address = nodes[1].peer_address;
+    redirect_peers(&nodes, address);
+    let forwarding = tokio::spawn(async move {
+        let (mut stream, _client) = listener.accept().await.unwrap();
+        // Fills the queue of connections, so that further ones time out.
+        let mut waiting = Vec::new();
+        for _ in 0..3 {
+            let connecting = tokio::net::TcpStream::connect(address);
+            let limit = Duration::from_millis(50);
+            waiting.push(tokio::time::timeout(limit, connecting).await);
+        }
+        let mut peer = tokio::net::TcpStream::connect(peer_address).await.unwrap();
+        tokio::io::copy_bidirectional(&mut stream, &mut peer).await
+    });
+    let response = call(&nodes[0], "/lasting/1000", &[], empty()).await;
+    forwarding.abort();
+    assert_eq!(response.status, StatusCode::OK);
+}
+
 #[tokio::test]
 async fn call_with_unreachable_node() {
     let nodes = nodes(2).await;
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -61,6 +61,7 @@
 /// - `mixed`, with the header `fail-first`: one upstream fails, all others refuse.
 /// - `failing`: responds with status 500.
 /// - `paced`: responds after 100 ms.
+/// - `lasting`: responds after the number of milliseconds that follows in the path.
 /// - `slow`: responds after 20 s.
 /// - `limited`: names a limit of ten requests per second.
 /// - `leaving`: says that it leaves.
@@ -80,6 +81,8 @@
     pub executor: Arc<Executor>,
     pub shared: Arc<Shared>,
     pub stop: CancellationToken,
+    /// Cancelled to close the listeners.
+    pub closed: CancellationToken,
 }
 
 struct RunningGuard(Arc<AtomicUsize>);
@@ -146,6 +149,11 @@
                 tokio::time::sleep(Duration::from_millis(100)).await;
                 Response::new(full(format!("response to {path}")))
             }
+            "lasting" => {
+                let time = path.split('/').nth(2).unwrap().parse().unwrap();
+                tokio::time::sleep(Duration::from_millis(time)).await;
+                Response::new(full("lasting"))
+            }
             "slow" => {
                 tokio::time::sleep(Duration::from_secs(20)).await;
                 Response::new(full("slow"))
@@ -221,7 +229,11 @@
     }
 }
 
-async fn listen(handler: Arc<dyn Handler>, stop: &CancellationToken) -> SocketAddr {
+async fn listen(
+    handler: Arc<dyn Handler>,
+    stop: &CancellationToken,
+    closed: &CancellationToken,
+) -> SocketAddr {
     let limits = HeaderLimits {
         max_header_bytes: 16 * 1024,
         header_timeout: Duration::from_secs(5),
@@ -231,7 +243,7 @@
     let address = server.address().unwrap();
     let shutdown = Shutdown {
         draining: stop.clone(),
-        closed: CancellationToken::new(),
+        closed: closed.clone(),
     };
     tokio::spawn(server.run(shutdown));
     address
@@ -364,8 +376,10 @@
 
 async fn node(index: usize, upstream_address: Option<SocketAddr>) -> Node {
     let stop = CancellationToken::new();
+    let closed = CancellationToken::new();
     let upstream = Arc::new(Upstream::default());
-    let default_address = listen(Arc::clone(&upstream) as Arc<_>, &CancellationToken::new()).await;
+    let never = CancellationToken::new();
+    let default_address = listen(Arc::clone(&upstream) as Arc<_>, &never, &never).await;
     let address = upstream_address.unwrap_or(default_address);
     let shared = Arc::new(Shared {
         locality: Locality::new(format!("n{index}"), "yard".to_owned(), "coast".to_owned()),
@@ -419,12 +433,13 @@
         fallback,
     );
     Node {
-        caller_address: listen(Arc::new(outbound), &stop).await,
-        peer_address: listen(Arc::new(inbound), &stop).await,
+        caller_address: listen(Arc::new(outbound), &stop, &closed).await,
+        peer_address: listen(Arc::new(inbound), &stop, &closed).await,
         upstream,
         executor,
         shared,
         stop,
+        closed,
     }
 }
 
