fix(relay): keep an attempt whose node does not respond until another has succeeded

If the node was told to stop between the cut and the response, that was a lost request.

Cause: a probe decides on a state of the network that the running attempt outlasts. On a full link, and at a node that stops and has closed its listener, it fails although the attempt goes on.

An attempt in doubt now stays open while another endpoint is tried, which costs the retry budget what it cost before; the first response of an upstream counts. If nothing else can be tried, the call ends as before where the node has accepted the probe and not responded, and otherwise, or on a node that stops, it waits for the attempt. The endpoint is avoided at once, as before.

call_at_node_that_accepts_no_further_connection and call_at_node_that_closes_its_listener failed before (502 in place of 200) and pass; call_with_unresponsive_node still ends after the probe.

--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -1,7 +1,6 @@
 //! Selects endpoints for the attempts of a call and retries it.
 
 use std::{
-    borrow::Cow,
     collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -27,6 +26,7 @@
 use super::{
     Call, Executor, LogLimiter, Reply, Shared,
     body::{Body, Payload, empty, read_prefix},
+    doubtful::{Attempt, Doubtful},
     header::is_of_another_request,
     inbound::PROBE_PATH,
     lent_body::{Admission, OnContinue, Source},
@@ -87,6 +87,8 @@
 struct Silence {
     /// Start of the attempt.
     since: Instant,
+    /// Whether the probe was sent; otherwise the node may only accept no further connection.
+    is_proven: bool,
     /// Why the probe failed.
     problem: String,
 }
@@ -139,21 +141,47 @@
     /// the attempt in flight.
     pub async fn dispatch(
         &self,
-        call: &Call,
+        call: Arc<Call>,
+        payload: Payload,
+        max_upstream_attempts: usize,
+        progress: &mut Progress,
+    ) -> Reply {
+        let mut doubtful = Doubtful::default();
+        let reply = self
+            .dispatch_attempts(
+                call,
+                payload,
+                max_upstream_attempts,
+                progress,
+                &mut doubtful,
+            )
+            .await;
+        let is_worth_waiting = self.shared.stop.is_cancelled() || doubtful.has_unproven();
+        if reply.verdict == Verdict::Ran || !is_worth_waiting {
+            return reply;
+        }
+        // Nothing else is left to try.
+        doubtful.response().await.unwrap_or(reply)
+    }
+
+    /// Makes attempts one after the other; those whose node does not respond go to `doubtful`.
+    async fn dispatch_attempts<'a>(
+        &'a self,
+        mut call: Arc<Call>,
         payload: Payload,
         max_upstream_attempts: usize,
         progress: &mut Progress,
+        doubtful: &mut Doubtful<'a>,
     ) -> Reply {
         let source = Source::from(payload);
         let retry_budget = self.retry_budget(&call.service);
         let node_count = self.shared.directory.load().node_count();
         retry_budget.deposit(**self.shared.retry_allowance.load(), node_count);
-        let mut call = Cow::Borrowed(call);
         let mut last: Option<Reply> = None;
         loop {
             let deadline = self.shared.lifetime.limit(call.deadline);
             if deadline < call.deadline {
-                call.to_mut().deadline = deadline;
+                Arc::make_mut(&mut call).deadline = deadline;
             }
             if call.remaining().is_zero() {
                 let reply = last.unwrap_or_else(|| Reply::refused(Reason::Deadline));
@@ -168,7 +196,7 @@
             let endpoint = match self.choose(&call, &progress.attempts) {
                 Ok((endpoint, patience)) => {
                     if call.patience != patience {
-                        call.to_mut().patience = patience;
+                        Arc::make_mut(&mut call).patience = patience;
                     }
                     endpoint
                 }
@@ -178,7 +206,7 @@
                     if step != Step::WaitPastTarget {
                         return finish(reply, progress);
                     }
-                    call = Cow::Owned(wait_past_target(&call, progress));
+                    call = Arc::new(wait_past_target(&call, progress));
                     last = Some(reply);
                     continue;
                 }
@@ -188,11 +216,25 @@
                 return finish(reply, progress);
             };
             progress.current = Some(endpoint.instance.clone());
-            let reply = self
-                .attempt(&endpoint, &call, body, admission.as_ref())
-                .await;
+            let attempt = self.attempt(Arc::clone(&endpoint), Arc::clone(&call), body, admission);
+            let mut attempt: Attempt<'a> = Box::pin(attempt);
+            // Only idempotent calls can be sent again.
+            let may_be_doubtful =
+                call.idempotent && endpoint.instance != self.shared.locality.instance;
+            let silence = tokio::select! {
+                biased;
+                reply = &mut attempt => Ok(reply),
+                Some(reply) = doubtful.response(), if !doubtful.is_empty() => return reply,
+                silence = self.wait_until_unresponsive(endpoint.address), if may_be_doubtful => {
+                    Err(silence)
+                }
+            };
             progress.current = None;
-            drop(admission);
+            let reply = silence.unwrap_or_else(|silence| {
+                self.record_silence(&endpoint, &call, &silence);
+                doubtful.push(attempt, silence.is_proven);
+                Reply::unknown(Reason::ConnectionLost)
+            });
             let outcome = Outcome {
                 verdict: reply.verdict,
                 reason: reply.reason,
@@ -208,7 +250,7 @@
                 Step::Finish => return finish(reply, progress),
                 Step::RetryPaid if !retry_budget.withdraw() => return finish(reply, progress),
                 Step::RetryFree | Step::RetryPaid => {}
-                Step::WaitPastTarget => call = Cow::Owned(wait_past_target(&call, progress)),
+                Step::WaitPastTarget => call = Arc::new(wait_past_target(&call, progress)),
             }
             if let Some(reason) = reply.reason {
                 let reason = reason.to_string();
@@ -264,11 +306,12 @@
     /// Makes one attempt; `admission` lets it send a long body.
     async fn attempt(
         &self,
-        endpoint: &Arc<Endpoint>,
-        call: &Call,
+        endpoint: Arc<Endpoint>,
+        call: Arc<Call>,
         body: Body,
-        admission: Option<&Arc<Admission>>,
+        admission: Option<Arc<Admission>>,
     ) -> Reply {
+        let (endpoint, call, admission) = (&endpoint, &*call, admission.as_ref());
         let observation = self.observations.begin_attempt(endpoint, Instant::now());
         let execution = async {
             let reply = if endpoint.instance == self.shared.locality.instance {
@@ -347,16 +390,7 @@
             request.extensions_mut().insert(on_continue);
         }
         let address = endpoint.address;
-        let sent = tokio::select! {
-            biased;
-            sent = self.pool.send(address, request) => sent,
-            // Only idempotent calls can be sent again.
-            silence = self.wait_until_unresponsive(address), if call.idempotent => {
-                self.record_silence(endpoint, call, &silence);
-                return Reply::unknown(Reason::ConnectionLost);
-            }
-        };
-        match sent {
+        match self.pool.send(address, request).await {
             Ok(response) => {
                 self.record_response(address);
                 let reply = read_reply(response);
@@ -408,26 +442,33 @@
                 *request.uri_mut() = Uri::from_static(PROBE_PATH);
                 let deadline = Instant::now() + PROBE_TIMEOUT;
                 let probe = timeout_at(deadline.into(), self.pool.send(address, request)).await;
-                let problem = match probe {
+                let (is_proven, problem) = match probe {
                     Ok(Ok(_response)) => {
                         self.record_response(address);
-                        None
+                        sleep(PROBE_DELAY * 2).await;
+                        continue;
                     }
-                    Ok(Err(failure)) => Some(failure.to_string()),
-                    Err(elapsed) => Some(elapsed.to_string()),
+                    Ok(Err(failure)) => (failure.verdict() != Verdict::NotRun, failure.to_string()),
+                    Err(elapsed) => (true, elapsed.to_string()),
+                };
+                return Silence {
+                    since,
+                    is_proven,
+                    problem,
                 };
-                if let Some(problem) = problem {
-                    return Silence { since, problem };
-                }
             }
             sleep(PROBE_DELAY * 2).await;
         }
     }
 
-    /// Counts and logs an attempt that is given up because its node does not respond.
-    fn record_silence(&self, endpoint: &Endpoint, call: &Call, silence: &Silence) {
-        metrics::counter!("lentilshunt_attempts_abandoned_total").increment(1);
+    /// Counts and logs an attempt whose node does not respond.
+    ///
+    /// No other attempts go to the endpoint for a while.
+    fn record_silence(&self, endpoint: &Arc<Endpoint>, call: &Call, silence: &Silence) {
+        metrics::counter!("lentilshunt_attempts_in_doubt_total").increment(1);
         let now = Instant::now();
+        let observation = self.observations.begin_attempt(endpoint, now);
+        observation.end(AttemptOutcome::Lost, None, now);
         if !self
             .log_limiter
             .allows(Level::Warning, now, &self.shared.log)
@@ -435,7 +476,7 @@
             return;
         }
         let waited = now.saturating_duration_since(silence.since);
-        warn!(self.shared.log, "node does not respond, attempt abandoned";
+        warn!(self.shared.log, "node does not respond, another one is tried";
             "request" => &call.request_id,
             "node" => &endpoint.instance,
             "waited_ms" => u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
--- a/crates/lentilshunt-node/src/relay/mod.rs
+++ b/crates/lentilshunt-node/src/relay/mod.rs
@@ -16,6 +16,7 @@
 mod caught;
 pub mod clock;
 mod dispatcher;
+mod doubtful;
 mod executor;
 mod expiring;
 pub mod fetch;
--- a/crates/lentilshunt-node/src/relay/outbound.rs
+++ b/crates/lentilshunt-node/src/relay/outbound.rs
@@ -97,7 +97,7 @@
 
 /// A parsed request with its route.
 struct ParsedRequest {
-    call: Call,
+    call: Arc<Call>,
     payload: Payload,
     route: Arc<Route>,
     /// Timeout of the request: that of the caller, or the default.
@@ -222,7 +222,7 @@
     /// Sends a call to endpoints, if its organisation has not used up its quota.
     async fn dispatch(
         &self,
-        call: &Call,
+        call: &Arc<Call>,
         payload: Payload,
         route: &Route,
         organisation: Option<&Organisation>,
@@ -235,7 +235,7 @@
         let limit = route.max_upstream_attempts;
         let reply = self
             .dispatcher
-            .dispatch(call, payload, limit, progress)
+            .dispatch(Arc::clone(call), payload, limit, progress)
             .await;
         if let Some(organisation) = organisation.filter(|_| reply.verdict == Verdict::NotRun) {
             self.meter.refund(organisation);
@@ -334,7 +334,7 @@
             fingerprint,
         };
         Ok(ParsedRequest {
-            call,
+            call: Arc::new(call),
             payload,
             route: Arc::clone(route),
             requested_timeout: timeout,
