fix(relay): serve what has arrived when the server closes

A request that had arrived on an open connection when the server closed got no response where requests are read ahead: the close was seen before the reader had looked at the socket. A connection that the runtime had not noticed was reset with the request on it.

The connection now yields once after the close, so that what has arrived is read first, and the backlog is accepted from the socket itself.

run_serves_request_that_has_arrived_on_open_connection (case ahead) and run_serves_unnoticed_connection_in_backlog failed before and pass.

Checked: linter, tests of the relay and of the fleet.

--- a/crates/lentilshunt-node/src/relay/server.rs
+++ b/crates/lentilshunt-node/src/relay/server.rs
@@ -12,7 +12,6 @@
     time::Duration,
 };
 
-use futures_util::FutureExt;
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
@@ -164,17 +163,36 @@
                 Err(_exhausted) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
             }
         }
-        // Closing the listener resets connections that it has not accepted, although their clients
-        // may have sent a request already.
-        while let Some(Ok(accepted)) = self.listener.accept().now_or_never() {
-            serve(accepted);
-        }
-        drop(self.listener);
+        drain_backlog(self.listener).into_iter().for_each(serve);
         connections.close();
         connections.wait().await;
     }
 }
 
+/// Closes a listener and returns the connections that it has not accepted.
+///
+/// Closing it resets them, although their clients may have sent a request already. Accepts from the
+/// socket directly, because the runtime notices a connection only when it next polls for events.
+fn drain_backlog(listener: TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let mut accepted = Vec::new();
+    loop {
+        match listener.accept() {
+            Ok((stream, address)) => {
+                let stream = stream
+                    .set_nonblocking(true)
+                    .and_then(|()| TcpStream::from_std(stream));
+                accepted.extend(stream.ok().map(|stream| (stream, address)));
+            }
+            // The client has left before the connection was accepted.
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(_empty) => return accepted,
+        }
+    }
+}
+
 /// Counts a request as in flight until it is dropped.
 struct InFlightGuard(Arc<AtomicUsize>);
 
@@ -315,6 +333,8 @@
     tokio::pin!(connection);
     let closing = async {
         shutdown.closed.cancelled().await;
+        // Lets the runtime notice what has arrived, and the connection read it.
+        yield_now().await;
         if !has_request.load(Ordering::Relaxed) {
             tokio::time::sleep(FIRST_REQUEST_TIME).await;
         }
