fix(relay): tell calls of local callers and of other nodes apart at a stopping node

Callers of a stopping node got 503 although a slot of its own upstream became free long before the end of the process, since the refusal of calls of other nodes released every call that waited, and counted the own endpoint as lost.

Local calls now wait until the end of the node, and no call begins after it with the slot of one that was cut off; calls of other nodes are released when they are refused and have no deadline beyond the end.

--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -268,9 +268,32 @@
         }
     }
 
-    /// Runs a call, or refuses it.
+    /// Runs a call of a local caller, or refuses it.
+    ///
+    /// It waits for a slot until the end of this node.
     pub async fn execute(&self, call: &Call, body: Body) -> Reply {
-        let reply = self.attempt(call, body).await;
+        let released = async {
+            self.shared.lifetime.ended().await;
+            Reason::Draining
+        };
+        let reply = self.attempt(call, body, released).await;
+        self.record_reply(call, reply)
+    }
+
+    /// Runs a call of another node, or refuses it.
+    ///
+    /// It does not wait for a slot once this node refuses such calls, since another node may have
+    /// one in time.
+    pub async fn execute_for_node(&self, call: &Call, body: Body) -> Reply {
+        let released = async {
+            self.shared.lifetime.refusing_calls().await;
+            Reason::NotReady
+        };
+        let reply = self.attempt(call, body, released).await;
+        self.record_reply(call, reply)
+    }
+
+    fn record_reply(&self, call: &Call, reply: Reply) -> Reply {
         if let Some(reason) = reply.reason {
             self.record_failure(call, &reply, reason);
         }
@@ -309,20 +332,29 @@
         );
     }
 
-    async fn attempt(&self, call: &Call, body: Body) -> Reply {
+    /// Runs a call, unless `released` completes while it waits for a slot.
+    async fn attempt(
+        &self,
+        call: &Call,
+        body: Body,
+        released: impl Future<Output = Reason>,
+    ) -> Reply {
         if let Err(reason) = self.check_ready(call) {
             return Reply::refused(reason);
         }
         let slot = tokio::select! {
             biased;
             slot = self.gate.acquire(call.applicant()) => slot,
-            // Another node may have a slot for it in time.
-            () = self.shared.lifetime.refusing_calls() => Err(Reason::NotReady),
+            reason = released => Err(reason),
         };
         let slot = match slot {
             Ok(slot) => slot,
             Err(reason) => return Reply::refused(reason),
         };
+        // The slot may be that of a call that the end of this node has cut off.
+        if self.shared.lifetime.has_ended() {
+            return Reply::refused(Reason::Draining);
+        }
         // The upstream may have started to drain while the call waited.
         let upstream = match self.check_ready(call) {
             Ok(upstream) => upstream,
--- a/crates/lentilshunt-node/src/relay/inbound.rs
+++ b/crates/lentilshunt-node/src/relay/inbound.rs
@@ -80,6 +80,10 @@
             self.executor.apply_notice(known);
         }
         let lifetime = &self.shared.lifetime;
+        let call = Call {
+            deadline: lifetime.limit(call.deadline),
+            ..call
+        };
         let reply = if lifetime.is_refusing_calls() {
             // Not `Draining`, because other nodes would still avoid the endpoint after a restart,
             // while its record is unchanged.
@@ -104,7 +108,7 @@
 
     async fn execute(&self, call: &Call, body: Incoming) -> Reply {
         match read_body(call, body).await {
-            Ok(body) => self.executor.execute(call, body).await,
+            Ok(body) => self.executor.execute_for_node(call, body).await,
             Err(reason) => Reply::refused(reason),
         }
     }
--- a/crates/lentilshunt-node/src/relay/lifetime.rs
+++ b/crates/lentilshunt-node/src/relay/lifetime.rs
@@ -44,6 +44,12 @@
         self.refusing.is_cancelled()
     }
 
+    /// Returns whether the handling of all requests has ended.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.over.is_cancelled()
+    }
+
     /// Completes once nothing waits for the local upstream any more.
     pub async fn refusing_calls(&self) {
         self.refusing.cancelled().await;
