fix(relay): do not let a call wait for an upstream that has begun to drain

A call that waited for a slot kept its place after its upstream had begun to drain, or had been replaced, although it could not run there any more: the state was checked before and after the wait only.

The wait now also ends with a change of the upstream after which the call may not run, so that another endpoint is tried while there is time.

call_waiting_at_upstream_that_begins_to_drain failed before (refused after 503 ms; the drain began after 200 ms) and passes.

Checked: linter, tests of the relay and of the fleet.

--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -1,6 +1,7 @@
 //! Runs calls on the local upstream.
 
 use std::{
+    future::pending,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -60,6 +61,8 @@
     report_lock: Mutex<()>,
     /// Report of the last upstream that has said in a response that it leaves.
     departures: watch::Sender<Option<Report>>,
+    /// Notified when the process, the phase or the service of the upstream changes.
+    changes: watch::Sender<()>,
     gate: Arc<Gate>,
     pool: Pool,
     suspects: Arc<Suspects>,
@@ -96,6 +99,7 @@
             upstream: ArcSwapOption::empty(),
             report_lock: Mutex::default(),
             departures: watch::Sender::default(),
+            changes: watch::Sender::default(),
             gate: Arc::new(Gate::new(QUEUE_CAPACITY)),
             pool: Pool::new(CONNECT_TIMEOUT, IDLE_TIMEOUT),
             suspects,
@@ -131,6 +135,9 @@
             }
             self.gate.resize(applied.report.slots);
             self.upstream.store(Some(Arc::new(applied)));
+            if change == Change::Changed {
+                self.changes.send_replace(());
+            }
         }
         change
     }
@@ -155,6 +162,7 @@
         let leaving = current.leaving();
         let report = leaving.report.clone();
         self.upstream.store(Some(Arc::new(leaving)));
+        self.changes.send_replace(());
         metrics::counter!("lentilshunt_departures_total", "source" => source).increment(1);
         info!(self.log, "upstream leaves"; "upstream" => &report.process,
             "sequence" => report.sequence, "source" => source);
@@ -345,6 +353,7 @@
         let slot = tokio::select! {
             biased;
             slot = self.gate.acquire(call.applicant()) => slot,
+            reason = self.wait_until_unready(call) => Err(reason),
             reason = released => Err(reason),
         };
         let slot = match slot {
@@ -414,6 +423,19 @@
         Reply::unknown(Reason::UpstreamLost)
     }
 
+    /// Waits until a call may no longer run on the upstream, and returns why.
+    async fn wait_until_unready(&self, call: &Call) -> Reason {
+        let mut changes = self.changes.subscribe();
+        loop {
+            if let Err(reason) = self.check_ready(call) {
+                return reason;
+            }
+            if changes.changed().await.is_err() {
+                return pending().await;
+            }
+        }
+    }
+
     /// Returns the upstream if a call may run on it, or the reason for a refusal.
     fn check_ready(&self, call: &Call) -> Result<Arc<Upstream>, Reason> {
         let now = Instant::now();
