fix(fleet): leave half of the grace period for responses, and time for the last ones

A request that a stopping node accepted 3.1 s after the signal of 6 s had 2.4 s left, less than its kind may need, and was given up then.

Requests are now accepted in the first half of the grace period at most, no pause of the shutdown goes beyond the time to respond, and the last responses have 0.2 s in any case.

Checked: linter, tests of the relay and of the fleet. No test of its own: the process can run only one node with metrics in a test program.

--- a/crates/lentilshunt-node/src/fleet/lifecycle.rs
+++ b/crates/lentilshunt-node/src/fleet/lifecycle.rs
@@ -21,7 +21,7 @@
 use tokio::{
     sync::watch,
     task::JoinHandle,
-    time::{sleep, sleep_until, timeout_at},
+    time::{sleep_until, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -74,8 +74,10 @@
 const MAX_READER_WAIT: Duration = Duration::from_millis(2600);
 /// Time without a new request of callers after which a stopping node closes its listeners.
 const SHUTDOWN_IDLE_TIME: Duration = Duration::from_millis(600);
-/// Time before the end of the grace period at which a stopping node accepts no more requests.
-const LAST_REQUEST_MARGIN: Duration = Duration::from_millis(2300);
+/// Part of the grace period in which a stopping node accepts requests, as a divisor.
+///
+/// The rest is left for their responses.
+const LAST_REQUEST_DIVISOR: u32 = 2;
 /// Timeout of one long poll for changed records, by a node that reads the store for others.
 ///
 /// Other nodes detect that it lost the store by the age of the rules that it sends.
@@ -172,16 +174,17 @@
         "domain" => &settings.locality.domain);
 
     stop.cancelled().await;
-    let drain_deadline = Instant::now() + settings.grace_period.saturating_sub(GRACE_MARGIN);
+    let stopped_at = Instant::now();
+    let drain_deadline = stopped_at + settings.grace_period.saturating_sub(GRACE_MARGIN);
     let respond_by = drain_deadline
         .checked_sub(RESPONSE_MARGIN)
         .unwrap_or(drain_deadline);
     shared.lifetime.end_at(respond_by);
     info!(log, "node stopping"; "in_flight" => callers.in_flight() + peers.in_flight());
-    sleep(PEER_SERVICE_TIME).await;
+    sleep_until(respond_by.min(stopped_at + PEER_SERVICE_TIME).into()).await;
     shared.lifetime.refuse_calls();
-    sleep(SHUTDOWN_NOTICE.saturating_sub(PEER_SERVICE_TIME)).await;
-    let last_request_at = drain_deadline.checked_sub(LAST_REQUEST_MARGIN);
+    sleep_until(respond_by.min(stopped_at + SHUTDOWN_NOTICE).into()).await;
+    let last_request_at = stopped_at + settings.grace_period / LAST_REQUEST_DIVISOR;
     callers.wait_until_idle(last_request_at).await;
     request_shutdown.closed.cancel();
     let in_flight = (Arc::clone(&callers.in_flight), Arc::clone(&peers.in_flight));
@@ -198,7 +201,9 @@
         warn!(log, "requests in flight at the end of the grace period";
             "callers" => callers.load(Ordering::Relaxed), "peers" => peers.load(Ordering::Relaxed));
         shared.lifetime.end();
-        if timeout_at(drain_deadline.into(), drained).await.is_err() {
+        // A node that was suspended or short of processor time has this time as well.
+        let response_deadline = drain_deadline.max(Instant::now() + RESPONSE_MARGIN);
+        if timeout_at(response_deadline.into(), drained).await.is_err() {
             warn!(log, "shutdown deadline reached with open connections");
         }
     }
@@ -410,11 +415,11 @@
     /// Waits until no request has arrived for [`SHUTDOWN_IDLE_TIME`], or until the deadline.
     ///
     /// Callers keep sending to a stopping node if most nodes of its failure domain stop.
-    async fn wait_until_idle(&self, deadline: Option<Instant>) {
+    async fn wait_until_idle(&self, deadline: Instant) {
         loop {
             let received = self.received.load(Ordering::Relaxed);
             let idle_at = Instant::now() + SHUTDOWN_IDLE_TIME;
-            if deadline.is_none_or(|deadline| idle_at > deadline) {
+            if idle_at > deadline {
                 return;
             }
             sleep_until(idle_at.into()).await;
