fix(fleet): never replace a version by one that was decoded while it was installed

A version that took long to decode could replace a newer one that another source installed meanwhile, so that the node went back: the version in force was read before decoding and not again.

The comparison and the replacement now happen under one lock.

install_while_older_version_is_decoded failed before (version 5 in place of 6) and passes.

--- a/crates/lentilshunt-node/src/fleet/installer.rs
+++ b/crates/lentilshunt-node/src/fleet/installer.rs
@@ -86,12 +86,16 @@
             }
         };
         let version = rules.version();
+        let mut history = self.lock_history();
+        // Another version may have been installed meanwhile.
+        let current = self.shared.version();
         if version <= current {
             return;
         }
         self.record_omissions(&rules);
-        self.lock_history().push(bytes);
+        history.push(bytes);
         self.shared.rules.store(Arc::new(rules));
+        drop(history);
         self.shared.observe_version(version, None);
         metrics::counter!("lentilshunt_versions_installed_total").increment(1);
         info!(log, "version in force"; "version" => version, "before" => current);
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -264,6 +264,54 @@
     assert_eq!(installer.content(), Some(Bytes::from_static(b"9")));
 }
 
+/// Decodes as [`VersionCodec`] does, and waits for version 5 until another thread lets it go on.
+#[derive(Debug)]
+struct WaitingCodec {
+    decoding: std::sync::Barrier,
+    installed: std::sync::Barrier,
+}
+
+impl Codec for WaitingCodec {
+    fn decode_rules(&self, bytes: &[u8], split_offset: u64) -> Result<Rules, DecodeError> {
+        if bytes == b"5" {
+            self.decoding.wait();
+            self.installed.wait();
+        }
+        VersionCodec.decode_rules(bytes, split_offset)
+    }
+
+    fn decode_report(&self, _path_and_query: &str, _body: &[u8]) -> Result<Report, DecodeError> {
+        unreachable!("no test sends a report")
+    }
+
+    fn acknowledgement(&self) -> Bytes {
+        Bytes::new()
+    }
+}
+
+// A version that took long to decode replaced a newer one that arrived from another source.
+#[test]
+fn install_while_older_version_is_decoded() {
+    let shared = shared();
+    let codec = Arc::new(WaitingCodec {
+        decoding: std::sync::Barrier::new(2),
+        installed: std::sync::Barrier::new(2),
+    });
+    let installer = Installer::new(
+        Arc::clone(&shared),
+        Arc::clone(&codec) as Arc<_>,
+        "rules".to_owned(),
+    );
+    std::thread::scope(|scope| {
+        scope.spawn(|| installer.install(Bytes::from_static(b"5")));
+        codec.decoding.wait();
+        installer.install(Bytes::from_static(b"6"));
+        codec.installed.wait();
+    });
+    assert_eq!(shared.version(), 6);
+    assert_eq!(installer.content(), Some(Bytes::from_static(b"6")));
+}
+
 #[tokio::test(start_paused = true)]
 async fn watch_table_after_failures_and_compaction() {
     let store = Store::default();
