test(relay): repeat earlier refusals that name their request

Cause looked for: operators of a similar system report that a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran (or such a request ran on a second upstream). Shown impossible here for a refusal that echoes the id of its request: in front of the response to the next request, while the connection is idle, and right behind itself; with status 503, 429 and 421; without a body and with one; over one hop and two. A connection is closed after a refusal with a body, so none can follow on it. A refusal with the id of the request itself cannot be an earlier one, because an upstream that has refused a request does not get it again: a request waits past its target only if it has reached no upstream. Not covered: refusals without an id.

--- a/crates/lentilshunt-node/tests/relay/raw_upstream.rs
+++ b/crates/lentilshunt-node/tests/relay/raw_upstream.rs
@@ -24,6 +24,7 @@
 /// - `twice`: sends its response twice; the second segment gives the delay of the second in
 ///   milliseconds, the third `whole`, `cut` (inside the head), or `chunked`.
 /// - `healthz`: responds to a health check; the second segment is `ready` or `leaving`.
+/// - `refuse`: sends a refusal twice, see [`Refusal`].
 /// - `endless`: never ends its response; the second segment gives the part that has no end.
 /// - others: responds with [`RawUpstream::body`].
 #[derive(Debug)]
@@ -33,6 +34,50 @@
     pub endless_bytes: Arc<AtomicUsize>,
     /// Connections with a response without end that the node has closed.
     pub closed: Arc<AtomicUsize>,
+    /// What it has done with the requests for no particular path.
+    pub runs: Arc<Runs>,
+}
+
+/// Requests that an upstream has run or refused.
+#[derive(Debug, Default)]
+pub struct Runs {
+    /// Ids of the requests.
+    pub ids: Mutex<Vec<String>>,
+    /// Ids of the requests that it has refused.
+    pub refused: Mutex<Vec<String>>,
+    /// Number of requests that followed a refusal, which was sent again in front of their response.
+    pub after_refusals: AtomicUsize,
+}
+
+/// A refusal that is sent twice, as the segments after `refuse` name it.
+#[derive(Clone, Copy, Debug)]
+struct Refusal<'a> {
+    status: &'a str,
+    /// `own` if it echoes the id of the request, `none` if it has no id.
+    echo: &'a str,
+    /// Body; `empty` for none.
+    body: &'a str,
+    /// When it is sent again: `behind` itself, `idle` after 20 ms, or once the `next` request on
+    /// the connection has arrived.
+    when: &'a str,
+}
+
+impl Refusal<'_> {
+    fn response(self, id: &str) -> String {
+        let body = match self.body {
+            "empty" => "",
+            body => body,
+        };
+        let echo = match self.echo {
+            "own" => format!("attempt: {id}\r\n"),
+            _ => String::new(),
+        };
+        let length = body.len();
+        format!(
+            "HTTP/1.1 {} Refused\r\n{echo}not-run: 1\r\ncontent-length: {length}\r\n\r\n{body}",
+            self.status,
+        )
+    }
 }
 
 impl RawUpstream {
@@ -43,10 +88,12 @@
             address: listener.local_addr().unwrap(),
             endless_bytes: Arc::default(),
             closed: Arc::default(),
+            runs: Arc::default(),
         };
-        let (endless_bytes, closed) = (
+        let (endless_bytes, closed, runs) = (
             Arc::clone(&upstream.endless_bytes),
             Arc::clone(&upstream.closed),
+            Arc::clone(&upstream.runs),
         );
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -54,6 +101,7 @@
                     stream,
                     Arc::clone(&endless_bytes),
                     Arc::clone(&closed),
+                    Arc::clone(&runs),
                 ));
             }
         });
@@ -66,9 +114,16 @@
     }
 }
 
-async fn serve(stream: TcpStream, endless_bytes: Arc<AtomicUsize>, closed: Arc<AtomicUsize>) {
+async fn serve(
+    stream: TcpStream,
+    endless_bytes: Arc<AtomicUsize>,
+    closed: Arc<AtomicUsize>,
+    runs: Arc<Runs>,
+) {
     let (mut reader, writer) = stream.into_split();
     let writer = Arc::new(Mutex::new(writer));
+    // The refusal that is sent again in front of the next response.
+    let mut refusal: Option<String> = None;
     while let Some(RequestHead {
         path,
         id,
@@ -98,6 +153,28 @@
                     });
                 }
             }
+            ["refuse", status, echo, body, when, ..] => {
+                let refused = Refusal {
+                    status,
+                    echo,
+                    body,
+                    when,
+                };
+                runs.refused.lock().await.push(id.clone());
+                let response = refused.response(&id);
+                match refused.when {
+                    "behind" => write(&writer, &response.repeat(2)).await,
+                    "idle" => {
+                        write(&writer, &response).await;
+                        sleep(Duration::from_millis(20)).await;
+                        write(&writer, &response).await;
+                    }
+                    _ => {
+                        write(&writer, &response).await;
+                        refusal = Some(response);
+                    }
+                }
+            }
             ["healthz", state, ..] => {
                 let status = match state {
                     "ready" => "200 OK",
@@ -111,7 +188,16 @@
                 closed.fetch_add(1, Ordering::SeqCst);
                 return;
             }
-            _ => write(&writer, &response(&id)).await,
+            _ => {
+                runs.ids.lock().await.push(id.clone());
+                if let Some(refusal) = refusal.take() {
+                    runs.after_refusals.fetch_add(1, Ordering::SeqCst);
+                    write(&writer, &refusal).await;
+                    // The request runs for a moment.
+                    sleep(Duration::from_millis(50)).await;
+                }
+                write(&writer, &response(&id)).await;
+            }
         }
         if is_chunked && skip_chunks(&mut reader).await.is_none() {
             return;
