fix(relay): close a connection after the response to another request

What callers saw: after an upstream had sent an earlier refusal once more, in front of the response to a request, the requests that followed on the same connection got 502, each because of the response to the one before it. Cause: the id that the upstream echoes was checked by the executor, after the pool had taken the connection back: a refusal without a body ends with its head. The response to the first request then arrived where that to the next one was expected. Change: the pool compares the id in the response with that in the request, and closes the connection if they differ. The outcome of the request itself is as before: unknown. A request or health check without an id no longer accepts a response that has one. Evidence: `call_after_call_with_refusal_of_another` fails without the change, over one hop and two (`left: 502, right: 200` for the third call).

--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -349,7 +349,7 @@
         let request_id = &self.shared.header_names.request_id;
         let response = reply.response.as_ref();
         let echoed = response.and_then(|response| response.headers().get(request_id));
-        is_of_another_request(echoed, &call.request_id)
+        is_of_another_request(echoed, call.request_id.as_bytes())
     }
 
     /// Completes once a node has responded neither to requests nor to a probe.
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -30,7 +30,7 @@
     gate::Gate,
     guarded, header,
     node_headers::header_text,
-    pool::Pool,
+    pool::{Failure, Pool},
     upstream::{self, Change, Report, Upstream},
 };
 use crate::executor::lock;
@@ -97,7 +97,8 @@
             report_lock: Mutex::default(),
             departures: watch::Sender::default(),
             gate: Arc::new(Gate::new(QUEUE_CAPACITY)),
-            pool: Pool::new(CONNECT_TIMEOUT, IDLE_TIMEOUT),
+            pool: Pool::new(CONNECT_TIMEOUT, IDLE_TIMEOUT)
+                .with_echoed_header(shared.header_names.request_id.clone()),
             suspects,
             instance: shared.locality.instance.clone(),
             service: shared.service.clone(),
@@ -343,12 +344,13 @@
             Err(failure) if failure.verdict() == Verdict::NotRun => {
                 return Reply::refused(Reason::Unreachable);
             }
+            Err(Failure::OtherRequest { .. }) => return Reply::unknown(Reason::BadAnswer),
             Err(_lost) => {
                 record_run(true);
                 return self.handle_lost_connection(call).await;
             }
         };
-        let reply = self.classify(call, &upstream, response);
+        let reply = self.classify(&upstream, response);
         if reply.verdict == Verdict::Ran {
             self.suspects.clear(call.fingerprint, Instant::now());
             slot.record_response(call.kind);
@@ -449,19 +451,12 @@
             "sent_before" => sent);
     }
 
-    /// Converts a response of the upstream to a reply, and detects refusals and responses to
-    /// another request.
-    fn classify(&self, call: &Call, upstream: &Upstream, mut response: Response<Body>) -> Reply {
+    /// Converts a response of the upstream to a reply, and detects refusals.
+    fn classify(&self, upstream: &Upstream, mut response: Response<Body>) -> Reply {
         let headers = response.headers();
         // Status 421: the process at the address is not the one that reported itself.
         let has_not_run = headers.contains_key(&self.header_names.not_run)
             || response.status() == StatusCode::MISDIRECTED_REQUEST;
-        if header::is_of_another_request(
-            headers.get(&self.header_names.request_id),
-            &call.request_id,
-        ) {
-            return Reply::unknown(Reason::BadAnswer);
-        }
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
             self.observe_rate_limit(headers, has_not_run);
             if headers.contains_key(&self.header_names.leaving) {
--- a/crates/lentilshunt-node/src/relay/header.rs
+++ b/crates/lentilshunt-node/src/relay/header.rs
@@ -47,8 +47,8 @@
 
 /// Returns whether an echoed id belongs to another request.
 #[must_use]
-pub fn is_of_another_request(echoed: Option<&HeaderValue>, request_id: &str) -> bool {
-    echoed.is_some_and(|echoed| echoed.as_bytes() != request_id.as_bytes())
+pub fn is_of_another_request(echoed: Option<&HeaderValue>, request_id: &[u8]) -> bool {
+    echoed.is_some_and(|echoed| echoed.as_bytes() != request_id)
 }
 
 /// Returns the headers without hop-by-hop headers and headers between nodes.
--- a/crates/lentilshunt-node/src/relay/pool.rs
+++ b/crates/lentilshunt-node/src/relay/pool.rs
@@ -20,7 +20,7 @@
     body::{Body as _, Frame, Incoming, SizeHint},
     client::conn::http1::{self, SendRequest},
     ext::on_informational,
-    header::{CONNECTION, HeaderName},
+    header::{CONNECTION, HeaderName, HeaderValue},
 };
 use hyper_util::rt::TokioIo;
 use lentilshunt_core::verdict::Verdict;
@@ -31,6 +31,7 @@
 
 use super::{
     body::{Body, Error as BodyError},
+    header::is_of_another_request,
     lent_body::OnContinue,
 };
 use crate::executor::lock;
@@ -77,6 +78,12 @@
         /// Address of the server.
         address: SocketAddr,
     },
+    /// The server sent the response to another request, so that the connection was closed.
+    #[snafu(display("{address} sent the response to another request"))]
+    OtherRequest {
+        /// Address of the server.
+        address: SocketAddr,
+    },
     /// The connection failed after the request was sent.
     #[snafu(display("connection to {address} failed after the request was sent"))]
     ConnectionLost {
@@ -93,7 +100,9 @@
     pub fn verdict(&self) -> Verdict {
         match self {
             Self::Connect { .. } | Self::NotSent { .. } => Verdict::NotRun,
-            Self::Informational { .. } | Self::ConnectionLost { .. } => Verdict::MayHaveRun,
+            Self::Informational { .. }
+            | Self::OtherRequest { .. }
+            | Self::ConnectionLost { .. } => Verdict::MayHaveRun,
         }
     }
 }
@@ -105,9 +114,18 @@
 pub struct Pool {
     connect_timeout: Duration,
     idle_timeout: Duration,
+    /// Header of a request that servers echo in their response, if they do.
+    echoed_header: Option<HeaderName>,
     servers: Mutex<HashMap<SocketAddr, Arc<IdleList>>>,
 }
 
+/// What a response is compared with.
+struct Expected {
+    address: SocketAddr,
+    /// Value of the echoed header in the request.
+    id: Option<HeaderValue>,
+}
+
 /// Idle connections to one server; the most recently used one is reused first.
 #[derive(Debug, Default)]
 struct IdleList {
@@ -129,10 +147,21 @@
         Self {
             connect_timeout,
             idle_timeout,
+            echoed_header: None,
             servers: Mutex::default(),
         }
     }
 
+    /// Sets the header of a request that servers echo in their response.
+    ///
+    /// A connection with the response to another request is closed: the next response on it would
+    /// belong to another request as well.
+    #[must_use]
+    pub fn with_echoed_header(mut self, name: HeaderName) -> Self {
+        self.echoed_header = Some(name);
+        self
+    }
+
     /// Sends a request and returns its response with a streaming body.
     ///
     /// Dropping the future, or the response body before its end, closes the
@@ -148,6 +177,10 @@
         mut request: Request<Body>,
     ) -> Result<Response<Body>, Failure> {
         let idle = self.idle_list(address);
+        let expected = Expected {
+            address,
+            id: self.echoed_value(request.headers()).cloned(),
+        };
         let too_many = limit_informational_responses(&mut request);
         while let Some(mut sender) = idle.pop() {
             let sent = tokio::select! {
@@ -155,7 +188,7 @@
                 () = too_many.cancelled() => return InformationalSnafu { address }.fail(),
             };
             match sent {
-                Ok(response) => return Ok(self.pooled_response(response, idle, sender)),
+                Ok(response) => return self.accept(&expected, response, idle, sender),
                 Err(mut error) => match error.take_message() {
                     // The server closed the connection while it was idle.
                     Some(unsent) => request = unsent,
@@ -171,7 +204,7 @@
             () = too_many.cancelled() => return InformationalSnafu { address }.fail(),
         };
         match sent {
-            Ok(response) => Ok(self.pooled_response(response, idle, sender)),
+            Ok(response) => self.accept(&expected, response, idle, sender),
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
                 let source = error.into_error();
@@ -204,6 +237,28 @@
         Ok(sender)
     }
 
+    fn echoed_value<'a>(&self, headers: &'a HeaderMap) -> Option<&'a HeaderValue> {
+        let name = self.echoed_header.as_ref()?;
+        headers.get(name)
+    }
+
+    /// Returns a response, unless it is the one to another request.
+    fn accept(
+        &self,
+        expected: &Expected,
+        response: Response<Incoming>,
+        idle: Arc<IdleList>,
+        sender: SendRequest<Body>,
+    ) -> Result<Response<Body>, Failure> {
+        let echoed = self.echoed_value(response.headers());
+        let id = expected.id.as_ref().map(HeaderValue::as_bytes);
+        if is_of_another_request(echoed, id.unwrap_or_default()) {
+            let address = expected.address;
+            return OtherRequestSnafu { address }.fail();
+        }
+        Ok(self.pooled_response(response, idle, sender))
+    }
+
     fn pooled_response(
         &self,
         response: Response<Incoming>,
--- a/crates/lentilshunt-node/tests/relay/repeated_refusal.rs
+++ b/crates/lentilshunt-node/tests/relay/repeated_refusal.rs
@@ -108,6 +108,21 @@
     assert!(repeats > 0, "no refusal was sent again");
 }
 
+// The response to a request must not be taken for that to the next one on the connection.
+#[rstest]
+#[tokio::test]
+async fn call_after_call_with_refusal_of_another(#[values(0, 1)] caller: usize) {
+    let upstream = RawUpstream::start().await;
+    let nodes = nodes_with_one_upstream(&upstream).await;
+    let node = &nodes[caller];
+    call_as(node, "/refuse/503/own/empty/next", "refused").await;
+    let second = call_as(node, "/once/x", "second").await;
+    assert_eq!(second.status, StatusCode::BAD_GATEWAY);
+    let third = call_as(node, "/once/x", "third").await;
+    assert_eq!(third.status, StatusCode::OK);
+    assert_eq!(third.headers["attempt"], "third");
+}
+
 // An upstream that refuses a request never gets it again, so that no earlier refusal has its id.
 #[tokio::test]
 async fn call_refused_by_only_upstream() {
