fix(relay): accept no response without an id on a kept connection

What callers saw: 503 for a request that is not idempotent and that the upstream ran, or such a request ran on a second upstream, after the first upstream had sent an earlier refusal once more on a kept connection, in front of the response to the request. Cause: a response without an id counted as that to the request that was sent last, and a refusal without an id (or status 421) as proof that it had not run. Refusals without an id exist: a health check has none, and its connection is used for requests afterwards. Change: on a connection that has carried an earlier request, a response belongs to the request only if it has its id. Without an id it is accepted as the first response on its connection, where there is no earlier one, and for health checks. Otherwise the outcome is unknown and the connection is closed. A refusal with the id of the request costs no new connection: `call_refused_many_times_on_one_connection`. The price: an upstream that omits the id from refusals gets one request on a connection before its next refusal ends it, and the outcome of that request is unknown.

--- a/crates/lentilshunt-node/src/relay/pool.rs
+++ b/crates/lentilshunt-node/src/relay/pool.rs
@@ -78,8 +78,9 @@
         /// Address of the server.
         address: SocketAddr,
     },
-    /// The server sent the response to another request, so that the connection was closed.
-    #[snafu(display("{address} sent the response to another request"))]
+    /// The server sent a response that may be the one to another request, so that the connection
+    /// was closed.
+    #[snafu(display("{address} sent a response that may be the one to another request"))]
     OtherRequest {
         /// Address of the server.
         address: SocketAddr,
@@ -122,8 +123,20 @@
 /// What a response is compared with.
 struct Expected {
     address: SocketAddr,
-    /// Value of the echoed header in the request.
-    id: Option<HeaderValue>,
+    /// Value of the echoed header in the request; empty if the request does not have it.
+    id: HeaderValue,
+    /// Whether the connection has carried earlier requests, whose responses may be sent again.
+    is_kept: bool,
+}
+
+impl Expected {
+    /// Returns whether a response with the given echoed value is certainly that to the request.
+    fn includes(&self, echoed: Option<&HeaderValue>) -> bool {
+        match echoed {
+            None if self.is_kept => self.id.is_empty(),
+            echoed => !is_of_another_request(echoed, self.id.as_bytes()),
+        }
+    }
 }
 
 /// Idle connections to one server; the most recently used one is reused first.
@@ -154,7 +167,9 @@
 
     /// Sets the header of a request that servers echo in their response.
     ///
-    /// A connection with the response to another request is closed: the next response on it would
+    /// A response is accepted if it has the value of the request (or neither has one), or if it has
+    /// none and the request is the first one on its connection. Any other may be the one to an
+    /// earlier request, sent again; the connection is closed, as the next response on it would
     /// belong to another request as well.
     #[must_use]
     pub fn with_echoed_header(mut self, name: HeaderName) -> Self {
@@ -177,9 +192,11 @@
         mut request: Request<Body>,
     ) -> Result<Response<Body>, Failure> {
         let idle = self.idle_list(address);
-        let expected = Expected {
+        let id = self.echoed_value(request.headers()).cloned();
+        let mut expected = Expected {
             address,
-            id: self.echoed_value(request.headers()).cloned(),
+            id: id.unwrap_or_else(|| HeaderValue::from_static("")),
+            is_kept: true,
         };
         let too_many = limit_informational_responses(&mut request);
         while let Some(mut sender) = idle.pop() {
@@ -199,6 +216,7 @@
             }
         }
         let mut sender = self.connect(address).await?;
+        expected.is_kept = false;
         let sent = tokio::select! {
             sent = sender.try_send_request(request) => sent,
             () = too_many.cancelled() => return InformationalSnafu { address }.fail(),
@@ -242,7 +260,7 @@
         headers.get(name)
     }
 
-    /// Returns a response, unless it is the one to another request.
+    /// Returns a response, unless it may be the one to another request.
     fn accept(
         &self,
         expected: &Expected,
@@ -250,9 +268,7 @@
         idle: Arc<IdleList>,
         sender: SendRequest<Body>,
     ) -> Result<Response<Body>, Failure> {
-        let echoed = self.echoed_value(response.headers());
-        let id = expected.id.as_ref().map(HeaderValue::as_bytes);
-        if is_of_another_request(echoed, id.unwrap_or_default()) {
+        if !expected.includes(self.echoed_value(response.headers())) {
             let address = expected.address;
             return OtherRequestSnafu { address }.fail();
         }
--- a/crates/lentilshunt-node/tests/relay/raw_upstream.rs
+++ b/crates/lentilshunt-node/tests/relay/raw_upstream.rs
@@ -23,7 +23,7 @@
 ///
 /// - `twice`: sends its response twice; the second segment gives the delay of the second in
 ///   milliseconds, the third `whole`, `cut` (inside the head), or `chunked`.
-/// - `healthz`: responds to a health check; the second segment is `ready` or `leaving`.
+/// - `healthz`: responds to a health check; the second segment is `ready`, `leaving` or `refused`.
 /// - `refuse`: sends a refusal twice, see [`Refusal`].
 /// - `endless`: never ends its response; the second segment gives the part that has no end.
 /// - others: responds with [`RawUpstream::body`].
@@ -34,15 +34,18 @@
     pub endless_bytes: Arc<AtomicUsize>,
     /// Connections with a response without end that the node has closed.
     pub closed: Arc<AtomicUsize>,
-    /// What it has done with the requests for no particular path.
+    /// Its connections, and what it has done with requests that it refuses or that have no
+    /// particular path.
     pub runs: Arc<Runs>,
 }
 
-/// Requests that an upstream has run or refused.
+/// What an upstream has done with connections and requests.
 #[derive(Debug, Default)]
 pub struct Runs {
     /// Ids of the requests.
     pub ids: Mutex<Vec<String>>,
+    /// Number of accepted connections.
+    pub connections: AtomicUsize,
     /// Ids of the requests that it has refused.
     pub refused: Mutex<Vec<String>>,
     /// Number of requests that followed a refusal, which was sent again in front of their response.
@@ -97,6 +100,7 @@
         );
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                runs.connections.fetch_add(1, Ordering::SeqCst);
                 tokio::spawn(serve(
                     stream,
                     Arc::clone(&endless_bytes),
@@ -153,6 +157,17 @@
                     });
                 }
             }
+            ["healthz", "refused", ..] => {
+                let refused = Refusal {
+                    status: "503",
+                    echo: "none",
+                    body: "empty",
+                    when: "next",
+                };
+                let response = refused.response(&id);
+                write(&writer, &response).await;
+                refusal = Some(response);
+            }
             ["refuse", status, echo, body, when, ..] => {
                 let refused = Refusal {
                     status,
--- a/crates/lentilshunt-node/tests/relay/repeated_refusal.rs
+++ b/crates/lentilshunt-node/tests/relay/repeated_refusal.rs
@@ -60,20 +60,27 @@
     #[case] when: &str,
     #[case] expected_repeats: usize,
     #[values("503", "429", "421")] status: &str,
+    #[values("own", "none")] echo: &str,
     #[values("empty", "body")] body: &str,
     #[values(0, 1)] caller: usize,
 ) {
     let upstream = RawUpstream::start().await;
     let nodes = nodes_with_one_upstream(&upstream).await;
-    let path = format!("/refuse/{status}/own/{body}/{when}");
+    let path = format!("/refuse/{status}/{echo}/{body}/{when}");
     let refused = call_as(&nodes[caller], &path, "refused").await;
-    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    // The first response on a connection belongs to the first request, with an id or without.
+    assert_eq!(
+        refused.status,
+        StatusCode::SERVICE_UNAVAILABLE,
+        "{refused:?}"
+    );
     if when == "idle" {
         sleep(Duration::from_millis(50)).await;
     }
     let next = call_as(&nodes[caller], "/once/x", "next").await;
     sleep(RUN_TIME).await;
-    assert_eq!(run_count(&upstream, &nodes, "next").await, 1);
+    let runs = run_count(&upstream, &nodes, "next").await;
+    assert_eq!(runs, 1, "{next:?}");
     assert!(!PROMISES.contains(&next.status), "{next:?}");
     // A connection is closed after a refusal with a body, so that none can follow on it.
     let expected_repeats = if body == "empty" { expected_repeats } else { 0 };
@@ -83,17 +90,32 @@
         0 => StatusCode::OK,
         _ => StatusCode::BAD_GATEWAY,
     };
-    assert_eq!(next.status, expected_status);
+    assert_eq!(next.status, expected_status, "{next:?}");
+}
+
+// The refusal of a health check has no id, as the health check has none.
+#[tokio::test]
+async fn call_after_refused_health_check_sent_twice() {
+    let upstream = RawUpstream::start().await;
+    let nodes = nodes_with_one_upstream(&upstream).await;
+    let found = nodes[0].executor.probe_upstream("/healthz/refused").await;
+    assert_eq!(found, None);
+    let next = call_as(&nodes[0], "/once/x", "next").await;
+    sleep(RUN_TIME).await;
+    assert_eq!(run_count(&upstream, &nodes, "next").await, 1);
+    assert_eq!(upstream.runs.after_refusals.load(Ordering::SeqCst), 1);
+    assert_eq!(next.status, StatusCode::BAD_GATEWAY);
 }
 
 // A request that a faulty upstream runs must not run on another one as well.
+#[rstest]
 #[tokio::test]
-async fn call_after_refusal_sent_twice_with_another_upstream() {
+async fn call_after_refusal_sent_twice_with_another_upstream(#[values("own", "none")] echo: &str) {
     let upstream = RawUpstream::start().await;
     let nodes = nodes_with_upstream(2, upstream.address).await;
-    for index in 0..20 {
-        let path = "/refuse/503/own/empty/next";
-        call_as(&nodes[0], path, &format!("refused-{index}")).await;
+    for index in 0..12 {
+        let path = format!("/refuse/503/{echo}/empty/next");
+        call_as(&nodes[0], &path, &format!("refused-{index}")).await;
         let id = format!("next-{index}");
         let next = call_as(&nodes[0], "/once/x", &id).await;
         sleep(RUN_TIME).await;
@@ -137,3 +159,17 @@
     assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(*upstream.runs.refused.lock().await, ["refused"]);
 }
+
+// New connections cost the upstream most while it refuses many requests.
+#[tokio::test]
+async fn call_refused_many_times_on_one_connection() {
+    let upstream = RawUpstream::start().await;
+    let nodes = nodes_with_upstream(1, upstream.address).await;
+    for index in 0..10 {
+        let id = format!("refused-{index}");
+        let response = call_as(&nodes[0], "/refuse/503/own/empty/next", &id).await;
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    assert_eq!(upstream.runs.refused.lock().await.len(), 10);
+    assert_eq!(upstream.runs.connections.load(Ordering::SeqCst), 1);
+}
