fix(relay): pass on responses in HTTP/1.1 whatever their upstream speaks

An upstream that answers in HTTP/1.0 without a length and is reset in the middle of the body: callers got a 200 with a part of the body that looked complete. With the upstream beside another node, a short or empty body even got a content-length of ours.

Cause: the response was passed on with the version of the upstream. In HTTP/1.0, hyper frames a body of unknown length by the close of the connection, so that the error of the body became an orderly close, on the way to the caller and on the way between two nodes. There it also escaped the buffering of short responses, which replaces one that breaks off.

The version now is that of the connection that the node serves. A body of unknown length is chunked, and lacks its last chunk if it breaks off.

--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::ArcSwapOption;
 use hyper::{
-    HeaderMap, Request, Response, StatusCode,
+    HeaderMap, Request, Response, StatusCode, Version,
     header::{HOST, HeaderValue},
 };
 use lentilshunt_core::{
@@ -481,6 +481,8 @@
         // Hop-by-hop headers apply to the connection to the upstream only.
         let end_to_end = header::end_to_end(response.headers());
         *response.headers_mut() = end_to_end;
+        // In HTTP/1.0, a body that breaks off while it is passed on would look complete.
+        *response.version_mut() = Version::HTTP_11;
         Reply::from_response(response)
     }
 }
--- /dev/null
+++ b/crates/lentilshunt-node/tests/relay/cut.rs
@@ -0,0 +1,221 @@
+//! Tests of calls whose upstream stops in the middle of its response.
+
+use std::{
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+use hyper::StatusCode;
+use lentilshunt_core::membership::Phase;
+use lentilshunt_node::relay::body::empty;
+use rstest::rstest;
+use tokio::time::sleep;
+
+use crate::{
+    cut_upstream::{CutUpstream, End},
+    fixture::{CallerResponse, Node, call, nodes_with_upstream, report},
+    raw_upstream::RawUpstream,
+};
+
+/// Id of the requests whose response is cut.
+const ID: &str = "cut";
+/// Length of a response body that is streamed, in bytes.
+const STREAMED_BYTES: usize = 200 * 1024;
+
+/// Returns nodes of which only the first has a ready upstream, the given one.
+async fn nodes_of(upstream: &CutUpstream) -> Vec<Node> {
+    let nodes = nodes_with_upstream(2, upstream.address).await;
+    nodes[1]
+        .executor
+        .apply_report(&report("p1", 2, Phase::Draining), Instant::now());
+    nodes
+}
+
+async fn call_as(node: &Node, path: &str, id: &str) -> CallerResponse {
+    call(node, path, &[("attempt", id)], empty()).await
+}
+
+/// Asserts that the upstream serves another request, and leaves a connection that is kept.
+async fn serve_another(node: &Node) {
+    // The node avoids an endpoint for a moment after several failures in a row.
+    for _ in 0..40 {
+        let response = call_as(node, "/x", "other").await;
+        if response.status == StatusCode::OK {
+            assert_eq!(response.headers["attempt"], "other");
+            assert_eq!(response.body.unwrap(), RawUpstream::body("other"));
+            return;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    panic!("no other request is served");
+}
+
+/// A complete response in one of several forms, and the length of its head.
+fn response(form: &str) -> (String, usize) {
+    let body = RawUpstream::body(ID);
+    let length = body.len();
+    let (half, rest) = body.split_at(length / 2);
+    let chunks = format!(
+        "{:x}\r\n{half}\r\n{:x}\r\n{rest}\r\n0\r\n\r\n",
+        half.len(),
+        rest.len()
+    );
+    let id = "attempt: {id}\r\n";
+    let (head, body) = match form {
+        "length" => (
+            format!("HTTP/1.1 200 OK\r\n{id}content-length: {length}\r\nseal: sealed\r\n\r\n"),
+            body,
+        ),
+        "length-last" => (
+            format!("HTTP/1.1 200 OK\r\nseal: sealed\r\n{id}content-length: {length}\r\n\r\n"),
+            body,
+        ),
+        "chunked" => (
+            format!("HTTP/1.1 200 OK\r\n{id}transfer-encoding: chunked\r\nseal: sealed\r\n\r\n"),
+            chunks,
+        ),
+        "chunked-last" => (
+            format!("HTTP/1.1 200 OK\r\nseal: sealed\r\n{id}transfer-encoding: chunked\r\n\r\n"),
+            chunks,
+        ),
+        "until-close" => (
+            format!("HTTP/1.1 200 OK\r\n{id}connection: close\r\nseal: sealed\r\n\r\n"),
+            body,
+        ),
+        "line-feeds" => (
+            format!("HTTP/1.1 200 OK\nattempt: {{id}}\ncontent-length: {length}\nseal: sealed\n\n"),
+            body,
+        ),
+        "informational" => (
+            format!(
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n\
+                 HTTP/1.1 200 OK\r\n{id}content-length: {length}\r\nseal: sealed\r\n\r\n"
+            ),
+            body,
+        ),
+        "old" => (
+            format!("HTTP/1.0 200 OK\r\n{id}content-length: {length}\r\nseal: sealed\r\n\r\n"),
+            body,
+        ),
+        "old-until-close" => (format!("HTTP/1.0 200 OK\r\n{id}seal: sealed\r\n\r\n"), body),
+        "no-content" => (
+            format!("HTTP/1.1 204 No Content\r\n{id}seal: sealed\r\n\r\n"),
+            String::new(),
+        ),
+        other => panic!("unknown form {other}"),
+    };
+    let (head, body) = (head.replace("{id}", ID), body);
+    let head_length = head.len();
+    (head + &body, head_length)
+}
+
+/// Asserts that a response is not passed on as a success.
+fn assert_failure(response: &CallerResponse, case: &str) {
+    assert_eq!(
+        response.status,
+        StatusCode::BAD_GATEWAY,
+        "{case}: {response:?}"
+    );
+    assert!(!response.headers.contains_key("seal"), "{case}");
+}
+
+// What a response lacks must not be replaced by an end of the node's making.
+#[rstest]
+#[tokio::test]
+async fn call_with_response_cut_at_any_byte(
+    #[values(
+        "length",
+        "length-last",
+        "chunked",
+        "chunked-last",
+        "until-close",
+        "line-feeds",
+        "informational",
+        "old",
+        "old-until-close",
+        "no-content"
+    )]
+    form: &str,
+    #[values(End::Close, End::Reset)] end: End,
+    #[values(0, 1)] caller: usize,
+) {
+    let upstream = CutUpstream::start().await;
+    let nodes = nodes_of(&upstream).await;
+    let node = &nodes[caller];
+    let (response, head_length) = response(form);
+    let ends_with_connection = form.ends_with("until-close");
+    let body_cuts = (head_length + 1..response.len()).step_by(37);
+    for (index, cut) in (0..=head_length).chain(body_cuts).enumerate() {
+        let is_kept = index % 2 == 0;
+        if is_kept {
+            serve_another(node).await;
+        } else {
+            nodes[0].executor.apply_report(
+                &report(&format!("p1-{index}"), 1, Phase::Ready),
+                Instant::now(),
+            );
+        }
+        let path = if index % 4 < 2 { "/once/cut" } else { "/cut" };
+        let case = format!(
+            "{path}, {cut} bytes, kept {is_kept}: {:?}",
+            &response[..cut]
+        );
+        upstream.set_script(&response[..cut], end);
+        let (cut_before, kept_before) = (
+            upstream.cut.load(Ordering::SeqCst),
+            upstream.cut_on_kept.load(Ordering::SeqCst),
+        );
+        let received = call_as(node, &format!("{path}/{index}"), ID).await;
+        assert!(upstream.cut.load(Ordering::SeqCst) > cut_before, "{case}");
+        let on_kept = upstream.cut_on_kept.load(Ordering::SeqCst) - kept_before;
+        assert_eq!(on_kept, usize::from(is_kept), "{case}");
+        // The upstream may end such a response in no other way.
+        let is_whole = cut >= head_length
+            && (form == "no-content" || ends_with_connection && end == End::Close);
+        if is_whole {
+            assert!(received.status.is_success(), "{case}");
+            assert_eq!(received.headers["seal"], "sealed");
+            assert_eq!(received.body.unwrap(), response[head_length..cut], "{case}");
+        } else {
+            assert_failure(&received, &case);
+        }
+    }
+}
+
+// Its beginning has been passed on, so that the caller must see that it breaks off.
+#[rstest]
+#[tokio::test]
+async fn call_with_streamed_response_cut(
+    #[values(
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 204800\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n",
+        "HTTP/1.0 200 OK\r\n",
+        "HTTP/1.0 200 OK\r\ncontent-length: 204800\r\n"
+    )]
+    start: &str,
+    #[values(End::Close, End::Reset)] end: End,
+    #[values(0, 1)] caller: usize,
+) {
+    let upstream = CutUpstream::start().await;
+    let nodes = nodes_of(&upstream).await;
+    let half = "a".repeat(STREAMED_BYTES / 2);
+    let body = if start.contains("chunked") {
+        format!("{:x}\r\n{half}\r\n", half.len())
+    } else {
+        half.clone()
+    };
+    let response = format!("{start}attempt: {ID}\r\nseal: sealed\r\n\r\n{body}");
+    upstream.set_script(&response, end);
+    let received = call_as(&nodes[caller], "/once/cut", ID).await;
+    let has_length = start.contains(':');
+    if !has_length && end == End::Close {
+        // This is how such a response ends.
+        assert_eq!(received.status, StatusCode::OK);
+        assert_eq!(received.body.unwrap(), half);
+    } else if received.status == StatusCode::OK {
+        assert_eq!(received.body.map(|body| body.len()), None);
+    } else {
+        assert_failure(&received, start);
+    }
+}
--- a/crates/lentilshunt-node/tests/relay/main.rs
+++ b/crates/lentilshunt-node/tests/relay/main.rs
@@ -2,6 +2,8 @@
 
 mod abandoned;
 mod call;
+mod cut;
+mod cut_upstream;
 mod fetch;
 mod fixture;
 mod hostile;
--- a/crates/lentilshunt-node/tests/relay/raw_upstream.rs
+++ b/crates/lentilshunt-node/tests/relay/raw_upstream.rs
@@ -10,7 +10,7 @@
 };
 
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncRead, AsyncReadExt, AsyncWriteExt},
     net::{
         TcpListener, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -120,14 +120,14 @@
 }
 
 /// What an upstream uses of the head of a request.
-struct RequestHead {
-    path: String,
-    id: String,
-    is_chunked: bool,
+pub struct RequestHead {
+    pub path: String,
+    pub id: String,
+    pub is_chunked: bool,
 }
 
 /// Reads the head of a request, but not its body.
-async fn read_request(reader: &mut OwnedReadHalf) -> Option<RequestHead> {
+pub async fn read_request<R: AsyncRead + Unpin>(reader: &mut R) -> Option<RequestHead> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(reader.read_u8().await.ok()?);
