fix(relay): pass on a success only with the signature of its upstream

Callers got a 200 with an empty body, complete by its framing, from an upstream that had stopped in the middle of its head: one that ends such a head with a blank line and closes. Without a length, that is how a response without a body looks. An idempotent request was not tried elsewhere, and a limit that the rest of the head would have named was taken as ended.

Cause: of a response the node demanded the echo of the request id only, which may come before the cut.

A successful response now needs a signature that is not empty as well, and is otherwise an unknown outcome: 502, or another attempt if the request is idempotent. Both demands come before the response is taken as a word of the upstream on its limit or leaving. Failures need no signature.

Not covered, as it cannot be told from a genuine response: a head that is cut behind the signature, or in its value, and ended with a blank line.

--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -462,6 +462,9 @@
         ) {
             return Reply::unknown(Reason::BadAnswer);
         }
+        if !has_not_run && !self.is_genuine(&response) {
+            return Reply::unknown(Reason::BadAnswer);
+        }
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
             self.observe_rate_limit(headers, has_not_run);
             if headers.contains_key(&self.header_names.leaving) {
@@ -475,9 +478,6 @@
             };
             return Reply::refused(reason).with_upstream_possibly_reached();
         }
-        if headers.get(&self.header_names.request_id).is_none() {
-            return Reply::unknown(Reason::BadAnswer);
-        }
         // Hop-by-hop headers apply to the connection to the upstream only.
         let end_to_end = header::end_to_end(response.headers());
         *response.headers_mut() = end_to_end;
@@ -485,6 +485,17 @@
         *response.version_mut() = Version::HTTP_11;
         Reply::from_response(response)
     }
+
+    /// Returns whether a response has what each response of an upstream has that has run a request.
+    ///
+    /// A head that ends too early may look like that of a response without a body.
+    fn is_genuine(&self, response: &Response<Body>) -> bool {
+        let headers = response.headers();
+        let signature = headers.get(&self.header_names.signature);
+        let is_signed = signature.is_some_and(|signature| !signature.is_empty());
+        headers.contains_key(&self.header_names.request_id)
+            && (is_signed || !response.status().is_success())
+    }
 }
 
 /// Parses the value of a header with a rate.
--- a/crates/lentilshunt-node/src/relay/header_names.rs
+++ b/crates/lentilshunt-node/src/relay/header_names.rs
@@ -7,6 +7,8 @@
 pub struct HeaderNames {
     /// Id that the caller assigned to this request; upstreams echo it.
     pub request_id: HeaderName,
+    /// Signature of an upstream, in each of its successful responses.
+    pub signature: HeaderName,
     /// Time until the deadline of the sender, in milliseconds.
     pub deadline_ms: HeaderName,
     /// Service that sent the request: that of the upstream beside the sending node.
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -202,6 +202,7 @@
         service: "service-a".to_owned(),
         header_names: HeaderNames {
             request_id: name("attempt"),
+            signature: name("seal"),
             deadline_ms: name("deadline"),
             caller: name("caller"),
             expected_process: name("expected"),
--- a/crates/lentilshunt-node/tests/relay/cut.rs
+++ b/crates/lentilshunt-node/tests/relay/cut.rs
@@ -35,6 +35,12 @@
     call(node, path, &[("attempt", id)], empty()).await
 }
 
+/// Calls as a caller that waits for `timeout_ms` milliseconds.
+async fn call_as_for(node: &Node, path: &str, id: &str, timeout_ms: &str) -> CallerResponse {
+    let headers = [("attempt", id), ("deadline", timeout_ms)];
+    call(node, path, &headers, empty()).await
+}
+
 /// Asserts that the upstream serves another request, and leaves a connection that is kept.
 async fn serve_another(node: &Node) {
     // The node avoids an endpoint for a moment after several failures in a row.
@@ -219,3 +225,109 @@
         assert_failure(&received, start);
     }
 }
+
+// A head that was cut and ended all the same looks like that of a response without a body, or with
+// one that ends with its connection.
+#[rstest]
+#[tokio::test]
+async fn call_with_head_cut_and_ended(
+    #[values(
+        "length",
+        "chunked",
+        "until-close",
+        "line-feeds",
+        "informational",
+        "old",
+        "old-until-close",
+        "no-content"
+    )]
+    form: &str,
+    #[values(End::Close, End::Keep)] end: End,
+    #[values(0, 1)] caller: usize,
+) {
+    let upstream = CutUpstream::start().await;
+    let nodes = nodes_of(&upstream).await;
+    let (response, _) = response(form);
+    let start = response.find("HTTP/1.1 20").unwrap_or(0);
+    let end_of_signature_name = response.find("seal: ").unwrap() + "seal: ".len();
+    for cut in start..=end_of_signature_name {
+        let head = &response[..cut];
+        let is_line_end = head.ends_with('\n');
+        let response = format!("{head}{}", if is_line_end { "\r\n" } else { "\r\n\r\n" });
+        upstream.set_script(&response, end);
+        serve_another(&nodes[0]).await;
+        let path = format!("/once/cut/{cut}");
+        let cut_before = upstream.cut.load(Ordering::SeqCst);
+        let received = call_as_for(&nodes[caller], &path, ID, "150").await;
+        let case = format!("{response:?}");
+        assert!(upstream.cut.load(Ordering::SeqCst) > cut_before, "{case}");
+        if received.status != StatusCode::GATEWAY_TIMEOUT || end == End::Close {
+            assert_failure(&received, &case);
+        }
+    }
+}
+
+// An idempotent request is tried elsewhere.
+#[rstest]
+#[case("/cut", StatusCode::OK, Some("response to /cut"))]
+#[case("/once/cut", StatusCode::BAD_GATEWAY, Some(""))]
+#[tokio::test]
+async fn call_with_response_without_signature(
+    #[case] path: &str,
+    #[case] status: StatusCode,
+    #[case] body: Option<&str>,
+) {
+    let upstream = CutUpstream::start().await;
+    let nodes = nodes_with_upstream(2, upstream.address).await;
+    upstream.set_script("HTTP/1.1 200 OK\r\nattempt: {id}\r\n\r\n", End::Close);
+    // Calls that fill the retry budget.
+    for _ in 0..4 {
+        let received = call_as(&nodes[0], "/x", ID).await;
+        assert_eq!(received.status, StatusCode::OK);
+    }
+    // Some of the calls go to the other upstream at first.
+    while upstream.cut.load(Ordering::SeqCst) == 0 {
+        nodes[1].upstream.received.lock().unwrap().clear();
+        let received = call_as(&nodes[0], path, ID).await;
+        if upstream.cut.load(Ordering::SeqCst) > 0 {
+            assert_eq!(received.status, status);
+            assert_eq!(received.body.as_deref(), body.map(str::as_bytes));
+        }
+    }
+    assert_eq!(upstream.cut.load(Ordering::SeqCst), 1);
+    let runs = nodes[1].upstream.received.lock().unwrap().len();
+    assert_eq!(runs, usize::from(path == "/cut"));
+}
+
+// Such a response needs no signature.
+#[rstest]
+#[case(404)]
+#[case(500)]
+#[tokio::test]
+async fn call_with_failure_without_signature(#[case] status: u16) {
+    let upstream = CutUpstream::start().await;
+    let nodes = nodes_of(&upstream).await;
+    let response =
+        format!("HTTP/1.1 {status} Failure\r\nattempt: {{id}}\r\ncontent-length: 3\r\n\r\nend");
+    upstream.set_script(&response, End::Keep);
+    let received = call_as(&nodes[0], "/once/cut", ID).await;
+    assert_eq!(received.status.as_u16(), status);
+    assert_eq!(received.body.as_deref(), Some(&b"end"[..]));
+}
+
+// It lacks what the upstream would have said of itself.
+#[tokio::test]
+async fn call_with_head_cut_under_rate_limit() {
+    let upstream = CutUpstream::start().await;
+    let nodes = nodes_of(&upstream).await;
+    let rate_limit = || nodes[0].executor.notice().unwrap().rate_limit;
+    let whole = "HTTP/1.1 204 No Content\r\nattempt: {id}\r\nseal: sealed\r\nlimit: 100.0\r\n\r\n";
+    upstream.set_script(whole, End::Keep);
+    let received = call_as(&nodes[0], "/cut", ID).await;
+    assert_eq!(received.status, StatusCode::NO_CONTENT);
+    let limit = rate_limit();
+    assert!(limit.is_some());
+    upstream.set_script("HTTP/1.1 200 OK\r\nattempt: {id}\r\n\r\n", End::Close);
+    assert_failure(&call_as(&nodes[0], "/once/cut", ID).await, "cut");
+    assert_eq!(rate_limit(), limit);
+}
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -210,6 +210,7 @@
 pub fn header_names() -> HeaderNames {
     HeaderNames {
         request_id: HeaderName::from_static("attempt"),
+        signature: HeaderName::from_static("seal"),
         deadline_ms: HeaderName::from_static("deadline"),
         caller: HeaderName::from_static("caller"),
         expected_process: HeaderName::from_static("expected"),
