--- a/crates/lentilshunt-node/src/relay/header.rs
+++ b/crates/lentilshunt-node/src/relay/header.rs
@@ -51,6 +51,16 @@
     echoed.is_some_and(|echoed| echoed.as_bytes() != request_id.as_bytes())
 }
 
+/// Returns whether a message has no other transfer encoding than `chunked`.
+///
+/// hyper takes the end of the connection as the end of a response with any other one.
+#[must_use]
+pub fn is_chunked_at_most(headers: &HeaderMap) -> bool {
+    let encodings = headers.get_all(TRANSFER_ENCODING).iter();
+    let mut is_chunked = encodings.map(|value| value.as_bytes().eq_ignore_ascii_case(b"chunked"));
+    is_chunked.all(|is_chunked| is_chunked)
+}
+
 /// Returns the headers without hop-by-hop headers and headers between nodes.
 ///
 /// Headers listed in the `connection` header are hop-by-hop as well.
--- a/crates/lentilshunt-node/tests/relay/cut.rs
+++ b/crates/lentilshunt-node/tests/relay/cut.rs
@@ -331,3 +331,38 @@
     assert_failure(&call_as(&nodes[0], "/once/cut", ID).await, "cut");
     assert_eq!(rate_limit(), limit);
 }
+
+// The signature may come before the cut.
+#[rstest]
+#[tokio::test]
+async fn call_with_framing_cut_and_ended(
+    #[values(
+        "transfer-enc",
+        "transfer-encoding",
+        "transfer-encoding:",
+        "transfer-encoding: ",
+        "transfer-encoding: chunke",
+        "transfer-encoding: gzip",
+        "transfer-encoding: gzip, chunked",
+        "content-len",
+        "content-length:",
+        "content-length: ",
+        "content-length: 6"
+    )]
+    line: &str,
+    #[values("", "5\r\nhello\r\n0\r\n\r\n")] body: &str,
+    #[values(200, 500)] status: u16,
+    #[values(0, 1)] caller: usize,
+) {
+    if line == "content-length: 6" && !body.is_empty() {
+        // The body has this length.
+        return;
+    }
+    let upstream = CutUpstream::start().await;
+    let nodes = nodes_of(&upstream).await;
+    let head = format!("HTTP/1.1 {status} Any\r\nseal: sealed\r\nattempt: {ID}");
+    upstream.set_script(&format!("{head}\r\n{line}\r\n\r\n{body}"), End::Close);
+    let received = call_as(&nodes[caller], "/once/cut", ID).await;
+    assert_eq!(upstream.cut.load(Ordering::SeqCst), 1);
+    assert_failure(&received, line);
+}
