fix(relay): refuse a head that two responses have made together

A part of a late, second response, cut in its head, arrived on a kept connection behind the next request, and then its response. Callers got the status of the part with the rest of the response: a failure became a 200 with its own echo, signature and body; a request that had run became a refused one, which the caller may send again, also where it may run once only.

Cause: a status line behind an unfinished header value or reason phrase is part of that text, and the echo and signature in the rest are genuine. The parser notices only a part that ends with a line or in a header name.

A response with the start of a status line (`HTTP/1.1 500`) in a header value or its reason phrase is now an unknown outcome. It is looked for before the response is read as a refusal.

--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -456,6 +456,9 @@
         // Status 421: the process at the address is not the one that reported itself.
         let has_not_run = headers.contains_key(&self.header_names.not_run)
             || response.status() == StatusCode::MISDIRECTED_REQUEST;
+        if header::contains_status_line(&response) {
+            return Reply::unknown(Reason::BadAnswer);
+        }
         if header::is_of_another_request(
             headers.get(&self.header_names.request_id),
             &call.request_id,
--- a/crates/lentilshunt-node/src/relay/header.rs
+++ b/crates/lentilshunt-node/src/relay/header.rs
@@ -1,8 +1,9 @@
 //! End-to-end and hop-by-hop headers.
 
 use hyper::{
-    HeaderMap, Request,
+    HeaderMap, Request, Response,
     body::Body as _,
+    ext::ReasonPhrase,
     header::{
         CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
         PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -30,6 +31,9 @@
 /// Prefix of the headers that nodes exchange.
 const INTERNAL_PREFIX: &str = "lentilshunt-";
 
+/// Start of a status line of HTTP/1, where 0 stands for any digit.
+const STATUS_LINE_START: &[u8; 12] = b"HTTP/1.0 000";
+
 /// Creates a request whose body hyper sends whatever its method is.
 ///
 /// hyper omits a body of unknown length if the method does not require a body,
@@ -61,6 +65,32 @@
     is_chunked.all(|is_chunked| is_chunked)
 }
 
+/// Returns whether the status line or a header of a response contains another status line.
+///
+/// The rest of an earlier response that was cut in its head and the head of the next one on the
+/// connection look like a single head.
+#[must_use]
+pub fn contains_status_line<B>(response: &Response<B>) -> bool {
+    let reason = response.extensions().get::<ReasonPhrase>();
+    let values = response.headers().values().map(HeaderValue::as_bytes);
+    values
+        .chain(reason.map(ReasonPhrase::as_bytes))
+        .any(|text| {
+            text.windows(STATUS_LINE_START.len())
+                .any(is_status_line_start)
+        })
+}
+
+/// Returns whether a text begins as a status line does up to the status.
+fn is_status_line_start(text: &[u8]) -> bool {
+    text.iter()
+        .zip(STATUS_LINE_START)
+        .all(|(byte, expected)| match expected {
+            b'0' => byte.is_ascii_digit(),
+            expected => byte == expected,
+        })
+}
+
 /// Returns the headers without hop-by-hop headers and headers between nodes.
 ///
 /// Headers listed in the `connection` header are hop-by-hop as well.
--- a/crates/lentilshunt-node/tests/relay/cut.rs
+++ b/crates/lentilshunt-node/tests/relay/cut.rs
@@ -7,7 +7,7 @@
 
 use hyper::StatusCode;
 use lentilshunt_core::membership::Phase;
-use lentilshunt_node::relay::body::empty;
+use lentilshunt_node::relay::{body::empty, header::contains_status_line};
 use rstest::rstest;
 use tokio::time::sleep;
 
@@ -373,3 +373,62 @@
     assert_eq!(upstream.cut.load(Ordering::SeqCst), 1);
     assert_failure(&received, line);
 }
+
+// The rest of a late copy and the response form one head, with the status of the copy: a failure
+// became a success, and a request that has run a refused one.
+#[rstest]
+#[case(
+    "HTTP/1.1 200 OK\r\nserver: any\r\nattempt: before\r\nseal: sealed\r\n\
+     content-length: 4\r\n\r\nlate",
+    500
+)]
+#[case(
+    "HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\nserver: any\r\n\
+     content-length: 0\r\n\r\n",
+    200
+)]
+#[case(
+    "HTTP/1.0 421 Misdirected Request\r\nserver: any\r\ncontent-length: 0\r\n\r\n",
+    200
+)]
+#[tokio::test]
+async fn call_with_cut_copy_before_response(
+    #[case] copy: &str,
+    #[case] status: u16,
+    #[values("once", "idempotent")] kind: &str,
+    #[values(0, 1)] caller: usize,
+) {
+    let upstream = CutUpstream::start().await;
+    let nodes = nodes_of(&upstream).await;
+    let real = format!(
+        "HTTP/1.1 {status} Any\r\nattempt: {ID}\r\nseal: sealed\r\ncontent-length: 4\r\n\r\nreal"
+    );
+    let head_length = copy.find("\r\n\r\n").unwrap() + "\r\n\r\n".len();
+    for cut in 0..head_length {
+        serve_another(&nodes[0]).await;
+        upstream.set_script(&format!("{}{real}", &copy[..cut]), End::Keep);
+        let cut_before = upstream.cut.load(Ordering::SeqCst);
+        let received = call_as(&nodes[caller], &format!("/{kind}/cut/{cut}"), ID).await;
+        assert!(upstream.cut.load(Ordering::SeqCst) > cut_before);
+        let case = format!("{:?}: {received:?}", &copy[..cut]);
+        if cut == 0 {
+            assert_eq!(received.status.as_u16(), status, "{case}");
+            assert_eq!(received.body.as_deref(), Some(&b"real"[..]));
+        } else {
+            assert_failure(&received, &case);
+        }
+    }
+}
+
+// Only what can be the start of a response is taken for one.
+#[rstest]
+#[case("HTTP/1.1 500 Internal Server Error", true)]
+#[case("xHTTP/1.0 200", true)]
+#[case("HTTP/1.1 proxy.example", false)]
+#[case("HTTP/1.1 20", false)]
+#[case("HTTP/2 200 OK", false)]
+fn contains_status_line_in_value(#[case] value: &str, #[case] expected: bool) {
+    let response = hyper::Response::builder().header("via", value);
+    let response = response.body(()).unwrap();
+    assert_eq!(contains_status_line(&response), expected);
+}
