test(relay): cut the response to a request behind and before others

Requests that a caller sends without waiting for responses: one of them gets a response whose head is cut, ended early or reset, or whose body is cut in its length, at the border of a chunk, or reset without a length. Each response must go to its own request, in their order, and none of another kind than a 502 may stand for the one that is cut. A streamed one must end the connection without an end of its body.

--- a/crates/lentilshunt-node/tests/relay/cut.rs
+++ b/crates/lentilshunt-node/tests/relay/cut.rs
@@ -9,11 +9,15 @@
 use lentilshunt_core::membership::Phase;
 use lentilshunt_node::relay::{body::empty, header::contains_status_line};
 use rstest::rstest;
-use tokio::time::sleep;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::sleep,
+};
 
 use crate::{
     cut_upstream::{CutUpstream, End},
-    fixture::{CallerResponse, Node, call, nodes_with_upstream, report},
+    fixture::{CallerResponse, HOST, Node, call, nodes_with_upstream, report},
     raw_upstream::RawUpstream,
 };
 
@@ -428,3 +432,129 @@
     let response = response.body(()).unwrap();
     assert_eq!(contains_status_line(&response), expected);
 }
+
+// What is behind a response that breaks off must not be taken for its rest, and each response goes
+// to its own request.
+#[rstest]
+#[case::head_cut("HTTP/1.1 200 OK\r\nattempt: {id}\r\ncontent-le", End::Close)]
+#[case::head_reset("HTTP/1.1 200 OK\r\nattempt: {id}\r\ncontent-le", End::Reset)]
+#[case::head_ended("HTTP/1.1 200 OK\r\nattempt: {id}\r\n\r\n", End::Close)]
+#[case::length_cut(
+    "HTTP/1.1 200 OK\r\nattempt: {id}\r\nseal: sealed\r\ncontent-length: 9\r\n\r\nhalf",
+    End::Close
+)]
+#[case::chunk_cut(
+    "HTTP/1.1 200 OK\r\nattempt: {id}\r\nseal: sealed\r\ntransfer-encoding: chunked\r\n\r\n\
+     4\r\nhalf\r\n",
+    End::Close
+)]
+#[case::reset_without_length(
+    "HTTP/1.1 200 OK\r\nattempt: {id}\r\nseal: sealed\r\n\r\nhalf",
+    End::Reset
+)]
+#[tokio::test]
+async fn call_ahead_of_response_cut(
+    #[case] response: &str,
+    #[case] end: End,
+    #[values("/once/cut", "/cut")] path: &str,
+    #[values(0, 1, 3)] position: usize,
+    #[values(0, 1)] caller: usize,
+) {
+    let upstream = CutUpstream::start().await;
+    let nodes = nodes_of(&upstream).await;
+    upstream.set_script(response, end);
+    // The last one closes the connection, and does not start before its turn.
+    let mut paths = ["/x/0", "/x/1", "/x/2", "/x/3", "/x/4"];
+    paths[position] = path;
+    let received = call_ahead(&nodes[caller], &paths).await;
+    let mut expected = String::new();
+    for id in 0..paths.len() {
+        if id == position {
+            expected += "502  \n";
+        } else {
+            expected += &format!("200 id-{id} {}\n", RawUpstream::body(&format!("id-{id}")));
+        }
+    }
+    assert_eq!(summary(&received), expected, "{received}");
+}
+
+// The connection ends with a streamed response that breaks off.
+#[rstest]
+#[tokio::test]
+async fn call_ahead_of_streamed_response_cut(
+    #[values("", "content-length: 204800\r\n", "transfer-encoding: chunked\r\n")] framing: &str,
+    #[values("HTTP/1.0", "HTTP/1.1")] version: &str,
+    #[values(0, 1)] caller: usize,
+) {
+    if (version, framing) == ("HTTP/1.0", "transfer-encoding: chunked\r\n") {
+        // There are no chunks in HTTP/1.0.
+        return;
+    }
+    let upstream = CutUpstream::start().await;
+    let nodes = nodes_of(&upstream).await;
+    let half = "a".repeat(STREAMED_BYTES / 2);
+    let start = match framing {
+        "transfer-encoding: chunked\r\n" => format!("{:x}\r\n", STREAMED_BYTES),
+        _ => String::new(),
+    };
+    let head = format!("{version} 200 OK\r\nattempt: {{id}}\r\nseal: sealed\r\n{framing}");
+    upstream.set_script(&format!("{head}\r\n{start}{half}"), End::Reset);
+    let received = call_ahead(&nodes[caller], &["/cut", "/x/1", "/x/2"]).await;
+    let first = received.starts_with("HTTP/1.1 200 OK\r\n");
+    if first {
+        assert!(!received.contains("response to"), "{received}");
+        assert!(!received.ends_with("0\r\n\r\n"));
+        let (head, body) = received.split_once("\r\n\r\n").unwrap();
+        let has_length = head.contains("content-length: 204800");
+        assert!(has_length != head.contains("transfer-encoding: chunked"));
+        assert!(body.len() < STREAMED_BYTES);
+    } else {
+        let others = ["id-1", "id-2"].map(|id| format!("200 {id} {}\n", RawUpstream::body(id)));
+        assert_eq!(summary(&received), format!("502  \n{}", others.concat()));
+    }
+}
+
+/// Sends requests without waiting for responses, and returns all that the node sends until the
+/// connection ends, or until it sends nothing more.
+async fn call_ahead(node: &Node, paths: &[&str]) -> String {
+    let mut stream = TcpStream::connect(node.caller_address).await.unwrap();
+    let mut requests = String::new();
+    for (id, path) in paths.iter().enumerate() {
+        let is_last = id + 1 == paths.len();
+        let connection = if is_last { "close" } else { "keep-alive" };
+        requests += &format!(
+            "GET {path} HTTP/1.1\r\nhost: {HOST}\r\nattempt: id-{id}\r\ndeadline: 1400\r\n\
+             connection: {connection}\r\n\r\n"
+        );
+    }
+    stream.write_all(requests.as_bytes()).await.unwrap();
+    let mut received = Vec::new();
+    // The node may reset the connection.
+    let _is_reset = stream.read_to_end(&mut received).await;
+    String::from_utf8(received).unwrap()
+}
+
+/// Returns the status, echoed id and body of each response, which must all be complete.
+fn summary(mut responses: &str) -> String {
+    let mut summary = String::new();
+    while let Some((head, rest)) = responses.split_once("\r\n\r\n") {
+        let line_value = |name| head.lines().find_map(|line| line.strip_prefix(name));
+        let status = &head["HTTP/1.1 ".len()..][..3];
+        let (body, rest) = match line_value("content-length: ") {
+            Some(length) => {
+                let length: usize = length.parse().unwrap();
+                (rest[..length].to_owned(), &rest[length..])
+            }
+            None => {
+                let (chunks, rest) = rest.split_once("0\r\n\r\n").expect("an incomplete body");
+                let lines = chunks.split("\r\n").skip(1).step_by(2);
+                (lines.collect(), rest)
+            }
+        };
+        let id = line_value("attempt: ").unwrap_or_default();
+        summary += &format!("{status} {id} {body}\n");
+        responses = rest;
+    }
+    assert_eq!(responses, "", "behind {summary}");
+    summary
+}
