test(relay): cut heads of responses that have no body

Responses with status 204 or 304, and to HEAD, are whole with their head, whatever length it names, and are none without all of it. Each cut of the head is tried with a close and a reset, in both versions, here and one node away.

No fault was found. With the mutation of Executor::attempt that takes a lost connection for an empty 200, 22 of 22 cases fail, and 24 of the 84 of call_ahead and 40 of the 40 of call_with_response_cut_at_any_byte as well.

--- a/crates/lentilshunt-node/tests/relay/cut.rs
+++ b/crates/lentilshunt-node/tests/relay/cut.rs
@@ -467,14 +467,15 @@
     let mut paths = ["/x/0", "/x/1", "/x/2", "/x/3", "/x/4"];
     paths[position] = path;
     let received = call_ahead(&nodes[caller], &paths).await;
-    let mut expected = String::new();
-    for id in 0..paths.len() {
+    let expected = (0..paths.len()).map(|id| {
+        let own = format!("200 id-{id} {}\n", RawUpstream::body(&format!("id-{id}")));
         if id == position {
-            expected += "502  \n";
+            "502  \n".to_owned()
         } else {
-            expected += &format!("200 id-{id} {}\n", RawUpstream::body(&format!("id-{id}")));
+            own
         }
-    }
+    });
+    let expected: String = expected.collect();
     assert_eq!(summary(&received), expected, "{received}");
 }
 
@@ -494,7 +495,7 @@
     let nodes = nodes_of(&upstream).await;
     let half = "a".repeat(STREAMED_BYTES / 2);
     let start = match framing {
-        "transfer-encoding: chunked\r\n" => format!("{:x}\r\n", STREAMED_BYTES),
+        "transfer-encoding: chunked\r\n" => format!("{STREAMED_BYTES:x}\r\n"),
         _ => String::new(),
     };
     let head = format!("{version} 200 OK\r\nattempt: {{id}}\r\nseal: sealed\r\n{framing}");
@@ -518,15 +519,15 @@
 /// connection ends, or until it sends nothing more.
 async fn call_ahead(node: &Node, paths: &[&str]) -> String {
     let mut stream = TcpStream::connect(node.caller_address).await.unwrap();
-    let mut requests = String::new();
-    for (id, path) in paths.iter().enumerate() {
+    let requests = paths.iter().enumerate().map(|(id, path)| {
         let is_last = id + 1 == paths.len();
         let connection = if is_last { "close" } else { "keep-alive" };
-        requests += &format!(
+        format!(
             "GET {path} HTTP/1.1\r\nhost: {HOST}\r\nattempt: id-{id}\r\ndeadline: 1400\r\n\
              connection: {connection}\r\n\r\n"
-        );
-    }
+        )
+    });
+    let requests: String = requests.collect();
     stream.write_all(requests.as_bytes()).await.unwrap();
     let mut received = Vec::new();
     // The node may reset the connection.
@@ -536,25 +537,79 @@
 
 /// Returns the status, echoed id and body of each response, which must all be complete.
 fn summary(mut responses: &str) -> String {
-    let mut summary = String::new();
+    let mut lines = Vec::new();
     while let Some((head, rest)) = responses.split_once("\r\n\r\n") {
-        let line_value = |name| head.lines().find_map(|line| line.strip_prefix(name));
+        let value = |name| head.lines().find_map(|line| line.strip_prefix(name));
         let status = &head["HTTP/1.1 ".len()..][..3];
-        let (body, rest) = match line_value("content-length: ") {
-            Some(length) => {
-                let length: usize = length.parse().unwrap();
-                (rest[..length].to_owned(), &rest[length..])
-            }
-            None => {
-                let (chunks, rest) = rest.split_once("0\r\n\r\n").expect("an incomplete body");
-                let lines = chunks.split("\r\n").skip(1).step_by(2);
-                (lines.collect(), rest)
-            }
+        let id = value("attempt: ").unwrap_or_default();
+        let (body, rest) = if let Some(length) = value("content-length: ") {
+            let (body, rest) = rest.split_at(length.parse().unwrap());
+            (body.to_owned(), rest)
+        } else {
+            let (chunks, rest) = rest.split_once("0\r\n\r\n").expect("an incomplete body");
+            let chunks = chunks.split("\r\n").skip(1).step_by(2);
+            (chunks.collect(), rest)
         };
-        let id = line_value("attempt: ").unwrap_or_default();
-        summary += &format!("{status} {id} {body}\n");
+        lines.push(format!("{status} {id} {body}\n"));
         responses = rest;
     }
-    assert_eq!(responses, "", "behind {summary}");
-    summary
+    assert_eq!(responses, "", "behind {lines:?}");
+    lines.concat()
+}
+
+// What has no body by its status or method has none whatever its head says, and needs all of it.
+#[rstest]
+#[case("GET", "204 No Content", "")]
+#[case("GET", "204 No Content", "content-length: 9\r\n")]
+#[case("GET", "304 Not Modified", "content-length: 9\r\n")]
+#[case("HEAD", "200 OK", "content-length: 9\r\n")]
+#[case("HEAD", "200 OK", "transfer-encoding: chunked\r\n")]
+#[case("HEAD", "200 OK", "")]
+#[tokio::test]
+async fn call_with_response_without_body(
+    #[case] method: &str,
+    #[case] status: &str,
+    #[case] framing: &str,
+    #[values("HTTP/1.0", "HTTP/1.1")] version: &str,
+    #[values(0, 1)] caller: usize,
+) {
+    if version == "HTTP/1.0" && framing.contains("chunked") {
+        // There are no chunks in HTTP/1.0.
+        return;
+    }
+    let upstream = CutUpstream::start().await;
+    let nodes = nodes_of(&upstream).await;
+    let head = format!("{version} {status}\r\nattempt: {{id}}\r\n{framing}seal: sealed\r\n\r\n");
+    for end in [End::Close, End::Reset, End::Keep] {
+        for cut in 0..=head.len() {
+            if end == End::Keep && cut < head.len() {
+                // The node waits for the rest.
+                continue;
+            }
+            upstream.set_script(&head[..cut], end);
+            serve_another(&nodes[0]).await;
+            let received = call_raw(&nodes[caller], method, "/once/cut").await;
+            let case = format!("{end:?} {:?}", &head[..cut]);
+            let (received_head, body) = received.split_once("\r\n\r\n").expect(&case);
+            assert_eq!(body, "", "{case}");
+            let expected = if cut == head.len() {
+                &status[..3]
+            } else {
+                "502"
+            };
+            assert_eq!(&received_head["HTTP/1.1 ".len()..][..3], expected, "{case}");
+        }
+    }
+}
+
+/// Sends a request on its own connection, and returns all that the node sends.
+async fn call_raw(node: &Node, method: &str, path: &str) -> String {
+    let mut stream = TcpStream::connect(node.caller_address).await.unwrap();
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nattempt: {ID}\r\nconnection: close\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut received = Vec::new();
+    stream.read_to_end(&mut received).await.unwrap();
+    String::from_utf8(received).unwrap()
 }
