test(relay): report the upstream again while responses are cut

On a busy machine, cases of call_with_head_cut_and_ended and call_with_response_without_body failed: `no other request is served`, or a 503 in place of a 502.

Cause: the upstream of a test reports itself once, and a node refuses calls when its reports are missing for four seconds. These cases take longer there. Each request between two cuts now comes with a new report. Nothing that is asserted has changed.

--- a/crates/lentilshunt-node/tests/relay/cut.rs
+++ b/crates/lentilshunt-node/tests/relay/cut.rs
@@ -1,7 +1,7 @@
 //! Tests of calls whose upstream stops in the middle of its response.
 
 use std::{
-    sync::atomic::Ordering,
+    sync::atomic::{AtomicU64, Ordering},
     time::{Duration, Instant},
 };
 
@@ -39,14 +39,17 @@
     call(node, path, &[("attempt", id)], empty()).await
 }
 
-/// Calls as a caller that waits for `timeout_ms` milliseconds.
-async fn call_as_for(node: &Node, path: &str, id: &str, timeout_ms: &str) -> CallerResponse {
-    let headers = [("attempt", id), ("deadline", timeout_ms)];
-    call(node, path, &headers, empty()).await
-}
+/// Sequence numbers of the reports of all upstreams.
+static SEQUENCE: AtomicU64 = AtomicU64::new(2);
 
 /// Asserts that the upstream serves another request, and leaves a connection that is kept.
-async fn serve_another(node: &Node) {
+async fn serve_another(nodes: &[Node], caller: usize) {
+    // Without a new report, calls are refused after some seconds.
+    let sequence = SEQUENCE.fetch_add(1, Ordering::Relaxed);
+    nodes[0]
+        .executor
+        .apply_report(&report("p1", sequence, Phase::Ready), Instant::now());
+    let node = &nodes[caller];
     // The node avoids an endpoint for a moment after several failures in a row.
     for _ in 0..40 {
         let response = call_as(node, "/x", "other").await;
@@ -158,7 +161,7 @@
     for (index, cut) in (0..=head_length).chain(body_cuts).enumerate() {
         let is_kept = index % 2 == 0;
         if is_kept {
-            serve_another(node).await;
+            serve_another(&nodes, caller).await;
         } else {
             nodes[0].executor.apply_report(
                 &report(&format!("p1-{index}"), 1, Phase::Ready),
@@ -254,18 +257,15 @@
     let (response, _) = response(form);
     let start = response.find("HTTP/1.1 20").unwrap_or(0);
     let end_of_signature_name = response.find("seal: ").unwrap() + "seal: ".len();
-    // Without the end of the connection, a response without a length lasts as long as the caller
-    // waits.
-    let timeout_ms = if end == End::Keep { "400" } else { "1500" };
     for cut in start..=end_of_signature_name {
         let head = &response[..cut];
         let is_line_end = head.ends_with('\n');
         let response = format!("{head}{}", if is_line_end { "\r\n" } else { "\r\n\r\n" });
         upstream.set_script(&response, end);
-        serve_another(&nodes[0]).await;
+        serve_another(&nodes, 0).await;
         let path = format!("/once/cut/{cut}");
         let cut_before = upstream.cut.load(Ordering::SeqCst);
-        let received = call_as_for(&nodes[caller], &path, ID, timeout_ms).await;
+        let received = call_as(&nodes[caller], &path, ID).await;
         let case = format!("{response:?}");
         assert!(upstream.cut.load(Ordering::SeqCst) > cut_before, "{case}");
         if received.status != StatusCode::GATEWAY_TIMEOUT || end == End::Close {
@@ -405,7 +405,7 @@
     );
     let head_length = copy.find("\r\n\r\n").unwrap() + "\r\n\r\n".len();
     for cut in 0..head_length {
-        serve_another(&nodes[0]).await;
+        serve_another(&nodes, 0).await;
         upstream.set_script(&format!("{}{real}", &copy[..cut]), End::Keep);
         let cut_before = upstream.cut.load(Ordering::SeqCst);
         let received = call_as(&nodes[caller], &format!("/{kind}/cut/{cut}"), ID).await;
@@ -587,7 +587,7 @@
                 continue;
             }
             upstream.set_script(&head[..cut], end);
-            serve_another(&nodes[0]).await;
+            serve_another(&nodes, 0).await;
             let received = call_raw(&nodes[caller], method, "/once/cut").await;
             let case = format!("{end:?} {:?}", &head[..cut]);
             let (received_head, body) = received.split_once("\r\n\r\n").expect(&case);
