fix(relay): refuse a switch of protocols that no request asks for

An upstream that responds with 101: callers got the 101, with its echo and signature, in place of an answer; requests behind it on the connection had no response, as both sides took it for that of another protocol.

Cause: hyper takes a 101 as the final response to any request, and the node passed it on.

A 101 is now an unknown outcome. Other informational responses do not reach this place.

Evidence: before the fix, the 4 cases of call_with_switch_of_protocol failed (`an incomplete body`); the caller had received "HTTP/1.1 101 Switching Protocols\r\nattempt: cut\r\nseal: sealed" and no more.

--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -498,6 +498,7 @@
         let is_signed = signature.is_some_and(|signature| !signature.is_empty());
         headers.contains_key(&self.header_names.request_id)
             && (is_signed || !response.status().is_success())
+            && !response.status().is_informational()
             && header::is_chunked_at_most(headers)
     }
 }
--- a/crates/lentilshunt-node/tests/relay/cut.rs
+++ b/crates/lentilshunt-node/tests/relay/cut.rs
@@ -613,3 +613,19 @@
     stream.read_to_end(&mut received).await.unwrap();
     String::from_utf8(received).unwrap()
 }
+
+// No request asks for another protocol; behind such a response, a connection takes no other one.
+#[rstest]
+#[tokio::test]
+async fn call_with_switch_of_protocol(
+    #[values("", "upgrade: x\r\nconnection: upgrade\r\n")] headers: &str,
+    #[values(0, 1)] caller: usize,
+) {
+    let upstream = CutUpstream::start().await;
+    let nodes = nodes_of(&upstream).await;
+    let head = "HTTP/1.1 101 Switching Protocols\r\nattempt: {id}\r\nseal: sealed\r\n";
+    upstream.set_script(&format!("{head}{headers}\r\n"), End::Keep);
+    let received = call_ahead(&nodes[caller], &["/once/cut", "/x/1"]).await;
+    let other = format!("200 id-1 {}\n", RawUpstream::body("id-1"));
+    assert_eq!(summary(&received), format!("502  \n{other}"));
+}
