fix(relay): compare each echoed id of a response with that of its request

A response with two echoes of which the first was that of the request was passed on, or taken as its refusal: callers got it with both, as a 200 or as a 503 that promises that the request has not run.

Cause: only the first header of the name was compared, although heads of two responses may run into each other.

Each one is compared now, on the node of the upstream and on that of the caller.

--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -346,10 +346,11 @@
 
     /// Returns whether a reply contains the response to another request.
     fn is_of_another_request(&self, reply: &Reply, call: &Call) -> bool {
-        let request_id = &self.shared.header_names.request_id;
+        let echo = &self.shared.header_names.request_id;
         let response = reply.response.as_ref();
-        let echoed = response.and_then(|response| response.headers().get(request_id));
-        is_of_another_request(echoed, &call.request_id)
+        response.is_some_and(|response| {
+            is_of_another_request(response.headers(), echo, &call.request_id)
+        })
     }
 
     /// Completes once a node has responded neither to requests nor to a probe.
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -459,10 +459,8 @@
         if header::contains_status_line(&response) {
             return Reply::unknown(Reason::BadAnswer);
         }
-        if header::is_of_another_request(
-            headers.get(&self.header_names.request_id),
-            &call.request_id,
-        ) {
+        let echo = &self.header_names.request_id;
+        if header::is_of_another_request(headers, echo, &call.request_id) {
             return Reply::unknown(Reason::BadAnswer);
         }
         if !has_not_run && !self.is_genuine(&response) {
--- a/crates/lentilshunt-node/src/relay/header.rs
+++ b/crates/lentilshunt-node/src/relay/header.rs
@@ -49,10 +49,11 @@
     request
 }
 
-/// Returns whether an echoed id belongs to another request.
+/// Returns whether a header with echoed ids names another request.
 #[must_use]
-pub fn is_of_another_request(echoed: Option<&HeaderValue>, request_id: &str) -> bool {
-    echoed.is_some_and(|echoed| echoed.as_bytes() != request_id.as_bytes())
+pub fn is_of_another_request(headers: &HeaderMap, echo: &HeaderName, request_id: &str) -> bool {
+    let mut echoed = headers.get_all(echo).iter();
+    echoed.any(|echoed| echoed.as_bytes() != request_id.as_bytes())
 }
 
 /// Returns whether a message has no other transfer encoding than `chunked`.
--- a/crates/lentilshunt-node/tests/relay/cut.rs
+++ b/crates/lentilshunt-node/tests/relay/cut.rs
@@ -629,3 +629,29 @@
     let other = format!("200 id-1 {}\n", RawUpstream::body("id-1"));
     assert_eq!(summary(&received), format!("502  \n{other}"));
 }
+
+// A response that names two requests may be that of the other one.
+#[rstest]
+#[case("attempt: {id}\r\nattempt: other\r\n", StatusCode::BAD_GATEWAY)]
+#[case("attempt: other\r\nattempt: {id}\r\n", StatusCode::BAD_GATEWAY)]
+#[case("attempt: {id}\r\nattempt: {id}\r\n", StatusCode::OK)]
+#[tokio::test]
+async fn call_with_response_of_several_ids(
+    #[case] ids: &str,
+    #[case] expected: StatusCode,
+    #[values("200 OK", "503 Service Unavailable\r\nnot-run: 1")] status: &str,
+    #[values(0, 1)] caller: usize,
+) {
+    let upstream = CutUpstream::start().await;
+    let nodes = nodes_of(&upstream).await;
+    let head = format!("HTTP/1.1 {status}\r\n{ids}seal: sealed\r\ncontent-length: 4\r\n\r\n");
+    upstream.set_script(&format!("{head}body"), End::Keep);
+    let received = call_as(&nodes[caller], "/once/cut", ID).await;
+    assert_eq!(upstream.cut.load(Ordering::SeqCst), 1);
+    let is_refusal = status.contains("not-run");
+    let expected = match expected {
+        StatusCode::OK if is_refusal => StatusCode::SERVICE_UNAVAILABLE,
+        expected => expected,
+    };
+    assert_eq!(received.status, expected);
+}
