--- a/crates/lentilshunt-node/src/relay/pool.rs
+++ b/crates/lentilshunt-node/src/relay/pool.rs
@@ -130,12 +130,12 @@
 }
 
 impl Expected {
-    /// Returns whether a response with the given echoed value is certainly that to the request.
-    fn includes(&self, echoed: Option<&HeaderValue>) -> bool {
-        match echoed {
-            None if self.is_kept => self.id.is_empty(),
-            echoed => !is_of_another_request(echoed, self.id.as_bytes()),
+    /// Returns whether a response with the given headers is certainly that to the request.
+    fn includes(&self, headers: &HeaderMap, echo: &HeaderName) -> bool {
+        if self.is_kept && !headers.contains_key(echo) {
+            return self.id.is_empty();
         }
+        !is_of_another_request(headers, echo, self.id.as_bytes())
     }
 }
 
@@ -268,7 +268,8 @@
         idle: Arc<IdleList>,
         sender: SendRequest<Body>,
     ) -> Result<Response<Body>, Failure> {
-        if !expected.includes(self.echoed_value(response.headers())) {
+        let echo = self.echoed_header.as_ref();
+        if !echo.is_none_or(|echo| expected.includes(response.headers(), echo)) {
             let address = expected.address;
             return OtherRequestSnafu { address }.fail();
         }
