fix(encoding): refuse rows and messages that are nested too deeply

What callers saw: a row among those of the nodes, or a message of a node, with a deeply nested value in an unknown field ended the process in a build without optimisation ("has overflowed its stack, fatal runtime error, SIGABRT"). As the row stays in the store, every node ends again after each start.

Cause: the decoder calls itself for each level of an unknown field. Its default limit of 1024 levels needs more stack than the 2 MiB that a thread has. An optimised build of the same tests survives with 2 MiB and with 256 KiB of stack, and aborts with 128 KiB, so the sidecar had a margin by chance of the frame size only.

Evidence: before the fix apply_update_with_undecodable_row aborted in nested_maps, nested_arrays_in_unknown_field and nested_maps_in_unknown_field. With the limit set back to 1024 levels decode_message_with_nested_unknown_field and decode_with_nested_unknown_field abort as well.

Fix: rows and messages are decoded by one function that allows 64 levels, so that a deeper value is an ordinary error of the decoder, which each reader logs or counts as before, and the other rows hold.

The other cases of apply_update_with_undecodable_row passed before: lengths of 2^32-1, numbers beyond u32, negative, fractional and infinite ones, and JSON cost only their row, and a line of the log names it; so do the highest numbers that a row can hold.

--- a/crates/lentilshunt-cli/src/fleet/registered.rs
+++ b/crates/lentilshunt-cli/src/fleet/registered.rs
@@ -1,6 +1,9 @@
 //! Nodes with a record in the platform's table.
 
-use lentilshunt_core::dissemination::{MEMBER_PREFIX, RENDEZVOUS_PREFIX};
+use lentilshunt_core::{
+    dissemination::{MEMBER_PREFIX, RENDEZVOUS_PREFIX},
+    encoding,
+};
 use lentilshunt_net::platform::Table;
 use lentilshunt_schema::peer::Record;
 
@@ -22,8 +25,8 @@
 
 /// Decodes a row that contains one record or a list of records.
 fn decode_records(value: &[u8]) -> Vec<Record> {
-    let single = rmp_serde::from_slice::<Record>(value).map(|record| vec![record]);
+    let single = encoding::decode::<Record>(value).map(|record| vec![record]);
     single
-        .or_else(|_list| rmp_serde::from_slice(value))
+        .or_else(|_list| encoding::decode(value))
         .unwrap_or_default()
 }
--- a/crates/lentilshunt-core/src/claim/bid.rs
+++ b/crates/lentilshunt-core/src/claim/bid.rs
@@ -3,6 +3,7 @@
 use lentilshunt_schema::platform::{Condition, Expectation, Row, Write};
 
 use super::Claim;
+use crate::encoding;
 
 /// A claim to be written.
 #[derive(Clone, Debug, PartialEq)]
@@ -73,7 +74,7 @@
         let Some(row) = row else {
             return self.replaces.map(|_revision| BidOutcome::Gone);
         };
-        let Ok(claim) = rmp_serde::from_slice::<Claim>(&row.value) else {
+        let Ok(claim) = encoding::decode::<Claim>(&row.value) else {
             return Some(BidOutcome::Unreadable);
         };
         if self.is_same(&claim) {
--- a/crates/lentilshunt-core/src/claim/sweep.rs
+++ b/crates/lentilshunt-core/src/claim/sweep.rs
@@ -5,6 +5,7 @@
 use lentilshunt_schema::platform::{Condition, Expectation, Row, Transaction, Write};
 
 use super::{Claim, KEY_PREFIX, SWEEP_MARGIN};
+use crate::encoding;
 
 /// Leading hexadecimal digits of the row key that select the shard of a claim.
 const SHARD_DIGITS: u32 = 3;
@@ -46,7 +47,7 @@
 }
 
 fn is_expired(row: &Row, now: SystemTime) -> bool {
-    let Ok(claim) = rmp_serde::from_slice::<Claim>(&row.value) else {
+    let Ok(claim) = encoding::decode::<Claim>(&row.value) else {
         return false;
     };
     let since_epoch = now.duration_since(SystemTime::UNIX_EPOCH);
--- a/crates/lentilshunt-core/src/config/head.rs
+++ b/crates/lentilshunt-core/src/config/head.rs
@@ -4,7 +4,10 @@
 use snafu::ResultExt;
 
 use super::{EncodingSnafu, Error, limit::MAX_HEAD_BYTES, manifest::check_length};
-use crate::id::{Digest, OperationId, VersionId};
+use crate::{
+    encoding,
+    id::{Digest, OperationId, VersionId},
+};
 
 /// Number and content hash of an accepted version.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -48,6 +51,6 @@
     /// [`Error::Length`] if they exceed the maximum length of a head.
     pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
         check_length("head", bytes, MAX_HEAD_BYTES)?;
-        rmp_serde::from_slice(bytes).context(EncodingSnafu { what: "head" })
+        encoding::decode(bytes).context(EncodingSnafu { what: "head" })
     }
 }
--- a/crates/lentilshunt-core/src/config/manifest.rs
+++ b/crates/lentilshunt-core/src/config/manifest.rs
@@ -9,7 +9,7 @@
     CanonicalSnafu, CountSnafu, EncodingSnafu, Error, HashSnafu, LengthSnafu,
     limit::{MAX_MANIFEST_BYTES, MAX_SERVICES},
 };
-use crate::id::Digest;
+use crate::{encoding, id::Digest};
 
 /// Names and content hashes of the sections of a snapshot.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -48,8 +48,7 @@
                 found
             }
         );
-        let manifest: Self =
-            rmp_serde::from_slice(bytes).context(EncodingSnafu { what: "manifest" })?;
+        let manifest: Self = encoding::decode(bytes).context(EncodingSnafu { what: "manifest" })?;
         let is_canonical = manifest.encode() == bytes;
         ensure!(is_canonical, CanonicalSnafu { what: "manifest" });
         let found = manifest.sections.len();
--- a/crates/lentilshunt-core/src/config/snapshot.rs
+++ b/crates/lentilshunt-core/src/config/snapshot.rs
@@ -9,7 +9,7 @@
     CanonicalSnafu, EncodingSnafu, Error, HashSnafu, Manifest, MissingSnafu, Section, Service,
     Topology, UnknownSnafu, limit::MAX_SECTION_BYTES, manifest::check_length, validation::validate,
 };
-use crate::id::ServiceId;
+use crate::{encoding, id::ServiceId};
 
 /// Inventory and rules of one version, compiled for routing.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -104,7 +104,7 @@
 
 fn decode<T: DeserializeOwned + Serialize>(content: &[u8]) -> Result<T, Error> {
     let what = "section";
-    let value: T = rmp_serde::from_slice(content).context(EncodingSnafu { what })?;
+    let value: T = encoding::decode(content).context(EncodingSnafu { what })?;
     let is_canonical = encode(String::new(), &value).content == content;
     ensure!(is_canonical, CanonicalSnafu { what });
     Ok(value)
--- a/crates/lentilshunt-core/src/dissemination/hybrid/watch.rs
+++ b/crates/lentilshunt-core/src/dissemination/hybrid/watch.rs
@@ -13,6 +13,7 @@
         PlatformRequest, PlatformResponse,
         jitter::{Backoff, jitter},
     },
+    encoding,
     id::InstanceId,
     membership::{Member, Record, rendezvous_weight},
 };
@@ -182,7 +183,7 @@
     fn sync_with_unknown_nodes(&mut self, rows: &[Row]) {
         let records: Vec<Vec<Record>> = rows
             .iter()
-            .filter_map(|row| rmp_serde::from_slice(&row.value).ok())
+            .filter_map(|row| encoding::decode(&row.value).ok())
             .collect();
         for records in records {
             let unknown: Vec<_> = records
--- a/crates/lentilshunt-core/src/dissemination/poller.rs
+++ b/crates/lentilshunt-core/src/dissemination/poller.rs
@@ -15,6 +15,7 @@
 };
 use crate::{
     config::Head,
+    encoding,
     id::InstanceId,
     membership::{LocalRecord, Record, View},
 };
@@ -136,7 +137,7 @@
     }
 
     fn merge_member(&mut self, now: Instant, row: &Row) {
-        let Ok(record) = rmp_serde::from_slice::<Record>(&row.value) else {
+        let Ok(record) = encoding::decode::<Record>(&row.value) else {
             return;
         };
         let held = self.members.get(&record.instance);
--- a/crates/lentilshunt-core/src/lib.rs
+++ b/crates/lentilshunt-core/src/lib.rs
@@ -23,6 +23,7 @@
 //! | [`execution`] | state of each non-idempotent request on the executing node |
 //! | [`claim`] | deduplication of repeated non-idempotent requests by idempotency key |
 //! | [`traffic`] | matching of requests to services, and limits of callers |
+//! | [`encoding`] | decoding of rows of the store and of messages of other nodes |
 //! | [`id`] | type aliases for identifiers |
 //! | [`verdict`] | whether a request may have run, and why it failed or was refused |
 
@@ -30,6 +31,7 @@
 pub mod claim;
 pub mod config;
 pub mod dissemination;
+pub mod encoding;
 pub mod execution;
 pub mod id;
 pub mod membership;
--- a/crates/lentilshunt-core/src/quarantine/suspicion.rs
+++ b/crates/lentilshunt-core/src/quarantine/suspicion.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Fingerprint;
-use crate::id::InstanceId;
+use crate::{encoding, id::InstanceId};
 
 /// Maximum number of suspicions in one message.
 const MAX_SUSPICIONS: usize = 64;
@@ -29,7 +29,7 @@
 /// Decodes a list of suspicions; returns an empty list if it is malformed or too long.
 #[must_use]
 pub fn decode(bytes: &[u8]) -> Vec<Suspicion> {
-    let suspicions: Vec<Suspicion> = rmp_serde::from_slice(bytes).unwrap_or_default();
+    let suspicions: Vec<Suspicion> = encoding::decode(bytes).unwrap_or_default();
     if suspicions.len() > MAX_SUSPICIONS {
         return Vec::new();
     }
--- a/crates/lentilshunt-net/src/platform/client.rs
+++ b/crates/lentilshunt-net/src/platform/client.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use hyper::{Method, Request, Response, StatusCode};
+use lentilshunt_core::encoding;
 use lentilshunt_schema::platform::{Outcome, Row, Scan, Transaction};
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, ensure};
@@ -128,5 +129,5 @@
 
 fn decode<T: DeserializeOwned>(response: &Response<Bytes>) -> Result<T, Error> {
     check_status(response)?;
-    rmp_serde::from_slice(response.body()).context(DecodeSnafu)
+    encoding::decode(response.body()).context(DecodeSnafu)
 }
--- a/crates/lentilshunt-node/src/control/exchange.rs
+++ b/crates/lentilshunt-node/src/control/exchange.rs
@@ -8,8 +8,9 @@
 
 use bytes::Bytes;
 use hyper::{Method, Request, Response, Uri};
-use lentilshunt_core::dissemination::{
-    Event, LinkClass, REQUEST_OVERHEAD_BYTES, RESPONSE_OVERHEAD_BYTES,
+use lentilshunt_core::{
+    dissemination::{Event, LinkClass, REQUEST_OVERHEAD_BYTES, RESPONSE_OVERHEAD_BYTES},
+    encoding,
 };
 use lentilshunt_net::http::{Error, Exchange, Pool};
 use lentilshunt_schema::peer::Message;
@@ -64,7 +65,7 @@
     }
     match response {
         Ok(response) if response.status().is_success() => {
-            let message = rmp_serde::from_slice(response.body()).ok()?;
+            let message = encoding::decode(response.body()).ok()?;
             Some(Event::Message(Box::new(message)))
         }
         Ok(_) | Err(_) => {
--- a/crates/lentilshunt-node/src/fleet/domain/domain_store.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/domain_store.rs
@@ -10,7 +10,10 @@
 
 use bytes::Bytes;
 use hyper::Request;
-use lentilshunt_core::dissemination::{Readers, Source};
+use lentilshunt_core::{
+    dissemination::{Readers, Source},
+    encoding,
+};
 use lentilshunt_net::BoxFuture;
 use slog::info;
 use tokio::time::{sleep, sleep_until};
@@ -269,7 +272,7 @@
             .fetch(reader, request, response_deadline, max_body_bytes)
             .await?
             .into_body();
-        let response: FeedResponse = rmp_serde::from_slice(&bytes)?;
+        let response: FeedResponse = encoding::decode(&bytes)?;
         let age = Duration::from_millis(response.age_ms);
         // The data of a table that is polled less often is older without a fault.
         let poll_timeout = self.throttle.poll_timeout(table).unwrap_or_default();
--- a/crates/lentilshunt-node/src/fleet/node_registry.rs
+++ b/crates/lentilshunt-node/src/fleet/node_registry.rs
@@ -9,6 +9,7 @@
 };
 
 use lentilshunt_core::{
+    encoding,
     id::InstanceId,
     membership::{Missing, Record, View, rendezvous_weight},
 };
@@ -143,7 +144,7 @@
         let own_row = present.iter().find(|change| change.key == *own);
         let own_value = own_row.and_then(|change| change.value.as_ref());
         let own_record = own_value
-            .and_then(|value| rmp_serde::from_slice::<Registration>(value).ok())
+            .and_then(|value| encoding::decode::<Registration>(value).ok())
             .map(|registration| registration.record);
         self.apply_changes(present);
         self.restorations.send_replace(Restoration { own_record });
@@ -202,7 +203,7 @@
             info!(log, "node removed"; "node" => key);
             return;
         };
-        match rmp_serde::from_slice::<Registration>(&value) {
+        match encoding::decode::<Registration>(&value) {
             Ok(registration) if registration.record.instance == key => {
                 let record = &registration.record;
                 if self.is_outdated(record) {
--- a/crates/lentilshunt-node/src/fleet/node_state.rs
+++ b/crates/lentilshunt-node/src/fleet/node_state.rs
@@ -1,6 +1,6 @@
 //! State that a node sends to another node that has an older version or none.
 
-use lentilshunt_core::membership::Endpoint;
+use lentilshunt_core::{encoding, membership::Endpoint};
 use lentilshunt_schema::peer::Record;
 use serde::{Deserialize, Serialize};
 
@@ -42,7 +42,7 @@
     ///
     /// Returns the error of the decoder for malformed bytes.
     pub fn decode(bytes: &[u8]) -> Result<Self, rmp_serde::decode::Error> {
-        rmp_serde::from_slice(bytes)
+        encoding::decode(bytes)
     }
 }
 
--- a/crates/lentilshunt-node/src/peer/control.rs
+++ b/crates/lentilshunt-node/src/peer/control.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Response, StatusCode};
-use lentilshunt_core::dissemination::Event;
+use lentilshunt_core::{dissemination::Event, encoding};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::control::Input;
@@ -14,7 +14,7 @@
     events: &mpsc::Sender<Input>,
     body: &[u8],
 ) -> Response<Full<Bytes>> {
-    let Ok(message) = rmp_serde::from_slice(body) else {
+    let Ok(message) = encoding::decode(body) else {
         metrics::counter!("lentilshunt_refusals_total", "reason" => "control_encoding")
             .increment(1);
         return empty_response(StatusCode::BAD_REQUEST);
--- a/crates/lentilshunt-node/src/peer/handler.rs
+++ b/crates/lentilshunt-node/src/peer/handler.rs
@@ -11,6 +11,7 @@
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use lentilshunt_core::{
     dissemination::Event,
+    encoding,
     id::Incarnation,
     membership::{Endpoint, Phase},
     verdict::Reason,
@@ -83,7 +84,7 @@
     }
 
     async fn handle_announcement(&self, body: &[u8]) -> Response<Full<Bytes>> {
-        let Ok(announcement) = rmp_serde::from_slice::<Announcement>(body) else {
+        let Ok(announcement) = encoding::decode::<Announcement>(body) else {
             return empty_response(StatusCode::BAD_REQUEST);
         };
         if announcement.instance != self.context.locality.instance {
@@ -131,7 +132,7 @@
     }
 
     fn handle_resolve(&self, body: &[u8]) -> Response<Full<Bytes>> {
-        let Ok(resolve) = rmp_serde::from_slice::<Resolve>(body) else {
+        let Ok(resolve) = encoding::decode::<Resolve>(body) else {
             return empty_response(StatusCode::BAD_REQUEST);
         };
         let Some((resolution, reply)) = self.resolve(&resolve) else {
--- a/crates/lentilshunt-node/src/quota/accountant.rs
+++ b/crates/lentilshunt-node/src/quota/accountant.rs
@@ -6,7 +6,10 @@
 };
 
 use bytes::Bytes;
-use lentilshunt_core::quota::{Accounts, Reply, Report};
+use lentilshunt_core::{
+    encoding,
+    quota::{Accounts, Reply, Report},
+};
 use slog::info;
 
 use crate::{executor::lock, relay::Shared};
@@ -51,7 +54,7 @@
     /// Settles an encoded report; returns `None` if it cannot be decoded.
     #[must_use]
     pub fn settle_encoded(&self, report: &Bytes) -> Option<Vec<u8>> {
-        match rmp_serde::from_slice(report) {
+        match encoding::decode(report) {
             Ok(report) => rmp_serde::to_vec(&self.settle(&report)).ok(),
             Err(error) => {
                 info!(self.shared.log, "quota report cannot be decoded"; "error" => %error);
--- a/crates/lentilshunt-node/src/quota/reporter.rs
+++ b/crates/lentilshunt-node/src/quota/reporter.rs
@@ -5,7 +5,10 @@
     time::{Duration, Instant},
 };
 
-use lentilshunt_core::quota::{Reply, Report};
+use lentilshunt_core::{
+    encoding,
+    quota::{Reply, Report},
+};
 use slog::{info, warn};
 use tokio::time::sleep;
 
@@ -96,7 +99,7 @@
     }
 
     fn decode(&self, reply: &[u8]) -> Option<Reply> {
-        match rmp_serde::from_slice(reply) {
+        match encoding::decode(reply) {
             Ok(reply) => Some(reply),
             Err(error) => {
                 info!(self.shared.log, "reply of the accountant cannot be decoded";
--- a/crates/lentilshunt-node/src/rollout/coordinator.rs
+++ b/crates/lentilshunt-node/src/rollout/coordinator.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use lentilshunt_core::{
+    encoding,
     id::ServiceId,
     rollout::{Mode, Outcome, Report, Trial},
 };
@@ -104,7 +105,7 @@
     /// Settles an encoded report; returns `None` if it cannot be decoded or its order is not known.
     #[must_use]
     pub fn settle_encoded(&self, report: &Bytes) -> Option<Vec<u8>> {
-        match rmp_serde::from_slice(report) {
+        match encoding::decode(report) {
             Ok(report) => rmp_serde::to_vec(&self.settle(report)?).ok(),
             Err(error) => {
                 info!(self.shared.log, "report on a roll-out cannot be decoded"; "error" => %error);
--- a/crates/lentilshunt-node/src/rollout/driver.rs
+++ b/crates/lentilshunt-node/src/rollout/driver.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use lentilshunt_core::rollout::Report;
+use lentilshunt_core::{encoding, rollout::Report};
 use slog::info;
 use tokio::time::sleep;
 
@@ -89,7 +89,7 @@
         if reply.is_empty() {
             return None;
         }
-        match rmp_serde::from_slice(reply) {
+        match encoding::decode(reply) {
             Ok(reply) => Some(reply),
             Err(error) => {
                 info!(self.shared.log, "reply of the coordinator cannot be decoded";
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod coordination;
 mod domain;
 mod node_state;
+mod odd_rows;
 mod rollout;
 
 use std::{
