fix(membership): send nothing to an address at which no node can listen

What callers saw: with an entry among the nodes whose address has port 0, or is the unspecified, a multicast or the broadcast address, attempts of requests and reports were sent to it and lost; the unspecified one reached whatever listens on the node's own instance. Entries with a port out of range, a host name or no address were passed over without a line in the log.

Cause: an address counted as usable if it could be parsed, and nothing was logged if it could not.

Fix: one function decides whether a record has an address at which a node can listen. The registry ignores a row without one and logs its key and address, as it does for one that cannot be decoded; views, member lists and the search for unknown nodes use the same function.

--- a/crates/lentilshunt-core/src/dissemination/hybrid/watch.rs
+++ b/crates/lentilshunt-core/src/dissemination/hybrid/watch.rs
@@ -15,7 +15,7 @@
     },
     encoding,
     id::InstanceId,
-    membership::{Member, Record, rendezvous_weight},
+    membership::{Member, Record, address_of, rendezvous_weight},
 };
 
 /// Prefix of the keys of rendezvous rows: one per failure domain, with records of a few nodes for
@@ -189,7 +189,7 @@
             let unknown: Vec<_> = records
                 .iter()
                 .filter(|record| !self.is_known_and_reachable(record))
-                .filter_map(|record| record.address.parse().ok())
+                .filter_map(address_of)
                 .filter(|address| *address != self.address)
                 .collect();
             if let Some(address) = unknown.choose(&mut self.random) {
--- a/crates/lentilshunt-core/src/membership/member.rs
+++ b/crates/lentilshunt-core/src/membership/member.rs
@@ -10,7 +10,7 @@
 pub struct Member {
     /// Entry with the highest precedence so far.
     pub entry: Entry,
-    /// Address of the record; none if it is not an IP address and port.
+    /// Address of the record; none if no node can listen at it.
     pub address: Option<SocketAddr>,
     /// Local number of the last change of the stamp.
     pub stamp_change_number: u64,
--- a/crates/lentilshunt-core/src/membership/member_list.rs
+++ b/crates/lentilshunt-core/src/membership/member_list.rs
@@ -8,7 +8,7 @@
 
 use rapidhash::v3::rapidhash_v3;
 
-use super::{Entry, Liveness, Member, Stamp, Summary, stamp_of, supersedes};
+use super::{Entry, Liveness, Member, Stamp, Summary, address_of, stamp_of, supersedes};
 use crate::id::{DomainId, InstanceId, VersionId};
 
 /// Time within which a suspected node can refute the suspicion.
@@ -82,7 +82,7 @@
             return change;
         }
         self.last_change_number += 1;
-        let address = entry.record.address.parse().ok();
+        let address = address_of(&entry.record);
         let mut member = old.cloned().unwrap_or(Member {
             entry: entry.clone(),
             address,
--- a/crates/lentilshunt-core/src/membership/mod.rs
+++ b/crates/lentilshunt-core/src/membership/mod.rs
@@ -8,6 +8,7 @@
 //! refutes a suspicion. A [`MemberList`] holds the highest entry of
 //! every node.
 
+mod address;
 mod endpoint;
 mod entry;
 mod local_record;
@@ -17,6 +18,7 @@
 mod rendezvous;
 mod view;
 
+pub use address::address_of;
 pub use endpoint::Endpoint;
 pub use entry::{apply_update, precedence, stamp_of, supersedes, to_update};
 pub use lentilshunt_schema::peer::{
--- a/crates/lentilshunt-core/src/membership/view.rs
+++ b/crates/lentilshunt-core/src/membership/view.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{Endpoint, Phase, Record};
+use super::{Endpoint, Phase, Record, address_of};
 
 /// Endpoints that a node may route to at one instant.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -14,8 +14,8 @@
 impl View {
     /// Builds a view from records.
     ///
-    /// Records without a service, of gone upstreams, or with an address that is
-    /// not an IP address and port yield no endpoint.
+    /// Records without a service, of gone upstreams, or with an address at which no
+    /// node can listen yield no endpoint.
     #[must_use]
     pub fn new<'a>(records: impl IntoIterator<Item = &'a Record>) -> Self {
         let mut endpoints: Vec<_> = records.into_iter().filter_map(endpoint).collect();
@@ -30,7 +30,7 @@
     }
     Some(Arc::new(Endpoint {
         instance: record.instance.clone(),
-        address: record.address.parse().ok()?,
+        address: address_of(record)?,
         region: record.region.clone(),
         domain: record.domain.clone(),
         incarnation: record.incarnation,
--- a/crates/lentilshunt-node/src/fleet/node_registry.rs
+++ b/crates/lentilshunt-node/src/fleet/node_registry.rs
@@ -11,7 +11,7 @@
 use lentilshunt_core::{
     encoding,
     id::InstanceId,
-    membership::{Missing, Record, View, rendezvous_weight},
+    membership::{Missing, Record, View, address_of, rendezvous_weight},
 };
 use slog::{info, warn};
 use tokio::sync::watch;
@@ -206,6 +206,11 @@
         match encoding::decode::<Registration>(&value) {
             Ok(registration) if registration.record.instance == key => {
                 let record = &registration.record;
+                if address_of(record).is_none() {
+                    warn!(log, "node registration without a usable address, row ignored";
+                        "node" => &key, "address" => &record.address);
+                    return;
+                }
                 if self.is_outdated(record) {
                     info!(log, "older row of a node ignored"; "node" => &key,
                         "sequence" => record.sequence);
@@ -243,7 +248,7 @@
     candidates
         .into_iter()
         .filter_map(|Registration { record, .. }| {
-            Some((record.instance.clone(), record.address.parse().ok()?))
+            Some((record.instance.clone(), address_of(record)?))
         })
         .collect()
 }
--- a/crates/lentilshunt-node/tests/fleet/odd_rows.rs
+++ b/crates/lentilshunt-node/tests/fleet/odd_rows.rs
@@ -161,6 +161,33 @@
     );
 }
 
+// Requests and reports were sent to addresses at which no node can listen, and no line of the log
+// named the row.
+#[rstest]
+#[case::port_out_of_range("10.0.0.9:99999")]
+#[case::negative_port("10.0.0.9:-1")]
+#[case::no_port("10.0.0.9")]
+#[case::port_0("10.0.0.9:0")]
+#[case::port_0_of_ipv6("[fd00::9]:0")]
+#[case::empty("")]
+#[case::no_host(":80")]
+#[case::name("node.example:80")]
+#[case::unspecified("0.0.0.0:80")]
+#[case::unspecified_ipv6("[::]:80")]
+#[case::multicast("224.0.0.1:80")]
+#[case::broadcast("255.255.255.255:80")]
+fn apply_update_with_unusable_address(#[case] address: &str, #[values(true, false)] is_full: bool) {
+    let row = registration(&ready(ODD, address));
+    let odd = rmp_serde::to_vec_named(&row).unwrap();
+    let (endpoints, coordinators, problems) = apply(&odd.into(), is_full);
+    assert_eq!(endpoints, ["n1", "n3"]);
+    assert_eq!(coordinators, ["n1", "n3"]);
+    assert_eq!(
+        problems,
+        ["node registration without a usable address, row ignored"]
+    );
+}
+
 // The highest numbers that a row can hold must end no process.
 #[rstest]
 fn apply_update_with_highest_numbers(#[values(true, false)] is_full: bool) {
