fix(membership): publish the free slots of an upstream that names many slots

What callers saw: a report with 4,294,968 slots or more was not acknowledged in a build with overflow checks ("attempt to multiply with overflow" ended the connection); in one without them the published number of free slots was wrong.

Cause: the free slots were computed from slots times thousandths in 32 bits.

Evidence: before the fix report_with_many_slots failed in both cases: the response was empty, after `panicked at local_record.rs:137:22: attempt to multiply with overflow`.

Fix: the product is computed in 64 bits.

--- a/crates/lentilshunt-core/src/membership/local_record.rs
+++ b/crates/lentilshunt-core/src/membership/local_record.rs
@@ -134,7 +134,10 @@
 /// Changes of the load within one step do not change the record.
 fn quantized_free_slots(announcement: &Announcement) -> u32 {
     let load = announcement.load.min(FULL_LOAD_PERMILLE);
-    let free_slots = announcement.slots * (FULL_LOAD_PERMILLE - load) / FULL_LOAD_PERMILLE;
+    let free_permille = u64::from(FULL_LOAD_PERMILLE - load);
+    let free_slots = u64::from(announcement.slots) * free_permille / u64::from(FULL_LOAD_PERMILLE);
+    // A share of the slots fits in their type.
+    let free_slots = u32::try_from(free_slots).unwrap_or(announcement.slots);
     let step = (announcement.slots / 3).max(1);
     free_slots / step * step
 }
--- a/crates/lentilshunt-node/tests/relay/main.rs
+++ b/crates/lentilshunt-node/tests/relay/main.rs
@@ -12,6 +12,7 @@
 mod pipelined;
 mod rate_limit;
 mod raw_upstream;
+mod reports;
 mod restart;
 mod server;
 mod upstream;
--- /dev/null
+++ b/crates/lentilshunt-node/tests/relay/reports.rs
@@ -0,0 +1,88 @@
+//! Tests of reports of an upstream with numbers that hardly fit.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use hyper::StatusCode;
+use lentilshunt_core::{
+    membership::{LocalRecord, Phase, Record},
+    traffic::Rules,
+};
+use lentilshunt_net::http::Shutdown;
+use lentilshunt_node::{
+    fleet::{Codec, DecodeError, Reports},
+    relay::{HeaderLimits, Server, upstream::Report},
+};
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::watch,
+};
+
+use crate::fixture::{Node, nodes, report};
+
+/// Decodes each report as the same one.
+#[derive(Debug)]
+struct FixedCodec(Report);
+
+impl Codec for FixedCodec {
+    fn decode_rules(&self, _bytes: &[u8], _split_offset: u64) -> Result<Rules, DecodeError> {
+        unimplemented!("no rules in these tests")
+    }
+
+    fn decode_report(&self, _path_and_query: &str, _body: &[u8]) -> Result<Report, DecodeError> {
+        Ok(self.0.clone())
+    }
+
+    fn acknowledgement(&self) -> Bytes {
+        Bytes::from_static(b"{}")
+    }
+}
+
+/// Sends a report to the node of an upstream and returns the published record.
+async fn send(node: &Node, report: Report) -> Option<Record> {
+    let (records, published) = watch::channel(None);
+    let address = node.peer_address.to_string();
+    let local_record = LocalRecord::new(&node.shared.locality, address, 1);
+    let reports = Reports::new(
+        Arc::clone(&node.shared),
+        Arc::clone(&node.executor),
+        Arc::new(FixedCodec(report)),
+        local_record,
+        records,
+    );
+    let limits = HeaderLimits {
+        max_header_bytes: 16 * 1024,
+        header_timeout: Duration::from_secs(5),
+    };
+    let any = "127.0.0.1:0".parse().unwrap();
+    let server = Server::bind(any, Arc::new(reports), limits).await.unwrap();
+    let address = server.address().unwrap();
+    tokio::spawn(server.run(Shutdown::default()));
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = b"POST / HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    stream.write_all(request).await.unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await.unwrap();
+    let status = StatusCode::OK.as_str();
+    assert_eq!(response.split(' ').nth(1), Some(status), "{response:?}");
+    published.borrow().clone()
+}
+
+// The report was not acknowledged, or a wrong number of free slots was published.
+#[rstest]
+#[case(4_294_968)]
+#[case(u32::MAX)]
+#[tokio::test]
+async fn report_with_many_slots(#[case] slots: u32) {
+    let nodes = nodes(1).await;
+    let many = Report {
+        slots,
+        ..report("p9", 1, Phase::Ready)
+    };
+    let record = send(&nodes[0], many).await.expect("a record");
+    let published = (record.phase, record.slots, record.room);
+    // The free slots are rounded down to a multiple of a third of the slots.
+    assert_eq!(published, (Phase::Ready, slots, slots / 3 * 3));
+}
