fix(fleet): let an upstream leave after a report with the highest sequence

What callers saw: a deregistration after a report with the sequence number 2^64-1 was not acknowledged in a build with overflow checks; in one without them it was taken for an old report, so that the upstream stayed in use until its reports had been missing.

Cause: a deregistration contains no sequence number, and got that of the last report plus one, which did not fit.

Evidence: deregister_after_highest_sequence failed before the fix: no response after `panicked at fleet/report.rs:149:27: attempt to add with overflow`.

Fix: a deregistration comes after all reports of the same start, whatever their numbers. Reports that arrive after it are of an earlier phase, and are ignored as before.

--- a/crates/lentilshunt-node/src/fleet/report.rs
+++ b/crates/lentilshunt-node/src/fleet/report.rs
@@ -146,7 +146,6 @@
         match self.executor.upstream(now) {
             Some(upstream) if upstream.report.process == report.process => Report {
                 phase: Phase::Gone,
-                sequence: upstream.report.sequence + 1,
                 ..upstream.report.clone()
             },
             _ => report.clone(),
--- a/crates/lentilshunt-node/src/relay/upstream.rs
+++ b/crates/lentilshunt-node/src/relay/upstream.rs
@@ -92,8 +92,8 @@
 
 /// Applies a report to the current state and returns its effect and the new state.
 ///
-/// Reports of one process start are ordered by their sequence number. A process
-/// never returns to an earlier phase. An older process replaces a newer one only
+/// Reports of one process start are ordered by their sequence number; a deregistration comes last.
+/// A process never returns to an earlier phase. An older process replaces a newer one only
 /// after the newer one has been silent, because a clock may have been set back. A delayed report
 /// of a process that has left is ignored also if the start of the process is unknown.
 /// The state is `None` if the report was ignored.
@@ -129,7 +129,9 @@
     let is_same_start = is_same_process && old.started_ms == report.started_ms;
     if is_same_start {
         let is_earlier_phase = phase_order(report.phase) < phase_order(old.phase);
-        if report.sequence <= old.sequence || is_earlier_phase {
+        // A deregistration has no sequence number of its own, and is the last report.
+        let is_repeated = report.sequence <= old.sequence && report.phase != Phase::Gone;
+        if is_repeated || is_earlier_phase {
             return (Change::Ignored, None);
         }
         let has_changed = (report.phase, report.slots, &report.service, &report.version)
--- a/crates/lentilshunt-node/tests/relay/reports.rs
+++ b/crates/lentilshunt-node/tests/relay/reports.rs
@@ -86,3 +86,24 @@
     // The free slots are rounded down to a multiple of a third of the slots.
     assert_eq!(published, (Phase::Ready, slots, slots / 3 * 3));
 }
+
+// The upstream stayed in use after it had left.
+#[tokio::test]
+async fn deregister_after_highest_sequence() {
+    let nodes = nodes(1).await;
+    let node = &nodes[0];
+    let last = report("p9", u64::MAX, Phase::Ready);
+    assert!(send(node, last).await.is_some());
+    // A deregistration contains only the id.
+    let gone = Report {
+        started_ms: 0,
+        service: String::new(),
+        slots: 0,
+        ..report("p9", 0, Phase::Gone)
+    };
+    let record = send(node, gone).await.expect("a record");
+    assert_eq!((record.phase, record.slots), (Phase::Gone, 2));
+    let upstream = node.executor.upstream(std::time::Instant::now());
+    let phase = upstream.map(|upstream| upstream.report.phase);
+    assert_eq!(phase, Some(Phase::Gone));
+}
