fix(membership): do not end a node by an entry with the highest number

What callers saw: an entry about a node with the sequence or the incarnation 2^64-1 ended the handling of the message in a build with overflow checks; in one without them the node went back to number 0, below what others hold.

Cause: the node refutes such an entry by the next higher number, which did not fit.

Evidence: refute_highest_numbers failed before the fix: `panicked at local_record.rs:107:32: attempt to add with overflow`.

Fix: an entry with the highest number is not refuted, as no number is above it.

--- a/crates/lentilshunt-core/src/membership/local_record.rs
+++ b/crates/lentilshunt-core/src/membership/local_record.rs
@@ -87,14 +87,18 @@
     ///
     /// A higher incarnation at the same address can only come from a clock that
     /// was set back, so the local record gets a still higher one. A higher incarnation
-    /// at another address is a replacement node and is not refuted.
+    /// at another address is a replacement node and is not refuted, nor is the highest number, which
+    /// nothing is higher than.
     pub fn refute(&mut self, reported: &Entry) -> bool {
         let other = &reported.record;
         if other.incarnation > self.record.incarnation {
             if other.address != self.record.address {
                 return false;
             }
-            self.record.incarnation = other.incarnation + 1;
+            let Some(incarnation) = other.incarnation.checked_add(1) else {
+                return false;
+            };
+            self.record.incarnation = incarnation;
             return true;
         }
         let is_same_incarnation = other.incarnation == self.record.incarnation;
@@ -104,7 +108,10 @@
         if other.sequence == self.record.sequence && reported.standing == Liveness::Alive {
             return false;
         }
-        self.record.sequence = other.sequence + 1;
+        let Some(sequence) = other.sequence.checked_add(1) else {
+            return false;
+        };
+        self.record.sequence = sequence;
         true
     }
 
--- a/crates/lentilshunt-core/tests/membership_merge.rs
+++ b/crates/lentilshunt-core/tests/membership_merge.rs
@@ -100,6 +100,20 @@
     );
 }
 
+// An entry with the highest number, which none is above, must not end the node.
+#[test]
+fn refute_highest_numbers() {
+    let locality = Locality::new("a".to_owned(), "d".to_owned(), "r".to_owned());
+    let mut local = LocalRecord::new(&locality, "10.0.0.2:7001".to_owned(), 1);
+    let before = local.record().clone();
+    let mut reported = entry(1, 0, 1, 0);
+    reported.record.sequence = u64::MAX;
+    assert!(!local.refute(&reported));
+    reported.record.incarnation = u64::MAX;
+    assert!(!local.refute(&reported));
+    assert_eq!(local.record(), &before);
+}
+
 #[test]
 fn refute_replacement_at_other_address() {
     let locality = Locality::new("a".to_owned(), "d".to_owned(), "r".to_owned());
