fix(traffic): split requests by weights whose sum exceeds 32 bits

What callers saw: requests of a route with weights near 2^32 were not answered in a build with overflow checks. Without them (profile override of the two crates) the test passed, so that no wrong share is shown there.

Cause: the position of a request is a product of two numbers below the sum of the weights, which did not fit in 64 bits.

Evidence: split_highest_weights failed before the fix: `panicked at split.rs:66:25: attempt to multiply with overflow`.

Fix: the product is computed in 128 bits.

--- a/crates/lentilshunt-core/src/traffic/split.rs
+++ b/crates/lentilshunt-core/src/traffic/split.rs
@@ -63,7 +63,7 @@
     #[must_use]
     pub fn next_service(&self) -> &Arc<str> {
         let counter = self.counter.fetch_add(1, Ordering::Relaxed) % self.total_weight;
-        let mut point = counter * self.step % self.total_weight;
+        let mut point = self.point(counter);
         for entry in &self.services {
             let weight = u64::from(entry.weight);
             if point < weight {
@@ -73,6 +73,13 @@
         }
         &self.services[0].service
     }
+
+    /// Returns the position of a request in the sum of the weights.
+    fn point(&self, counter: u64) -> u64 {
+        let point = u128::from(counter) * u128::from(self.step) % u128::from(self.total_weight);
+        // The remainder is below the sum.
+        u64::try_from(point).unwrap_or_default()
+    }
 }
 
 impl Clone for Split {
--- a/crates/lentilshunt-core/tests/traffic.rs
+++ b/crates/lentilshunt-core/tests/traffic.rs
@@ -100,6 +100,20 @@
     assert_eq!(counts, BTreeMap::from([("left", left), ("right", right)]));
 }
 
+// Requests of a route with such weights were not answered, or went to one service too often.
+#[test]
+fn split_highest_weights() {
+    let weights = vec![weighted("left", u32::MAX), weighted("right", u32::MAX)];
+    let split = Split::new(weights, u64::MAX).expect("weights");
+    let requests = 10_000;
+    let services = std::iter::repeat_with(|| split.next_service());
+    let left = services
+        .take(requests)
+        .filter(|service| ***service == *"left");
+    let left = left.count();
+    assert!(left.abs_diff(requests / 2) <= requests / 100, "{left}");
+}
+
 #[test]
 fn split_without_weight() {
     assert!(Split::new(vec![weighted("left", 0)], 0).is_none());
