test(relay): show that odd numbers in headers and reports end nothing

Deadlines and keep-alive times of 2^64-1, beyond u64, infinite, negative and fractional, and the longest warm-up that a report can name: requests are handled, connections are used again, and the next request gets its response.

No fault was found.

--- a/crates/lentilshunt-node/tests/relay/main.rs
+++ b/crates/lentilshunt-node/tests/relay/main.rs
@@ -8,6 +8,7 @@
 mod leaving;
 mod long_body;
 mod malformed;
+mod numbers;
 mod organisation;
 mod pipelined;
 mod rate_limit;
