--- a/crates/lentilshunt-core/src/dissemination/hybrid/watch.rs
+++ b/crates/lentilshunt-core/src/dissemination/hybrid/watch.rs
@@ -13,8 +13,9 @@
         PlatformRequest, PlatformResponse,
         jitter::{Backoff, jitter},
     },
+    encoding,
     id::InstanceId,
-    membership::{Member, Record, rendezvous_weight},
+    membership::{Member, Record, address_of, rendezvous_weight},
 };
 
 /// Prefix of the keys of rendezvous rows: one per failure domain, with records of a few nodes for
@@ -182,13 +183,13 @@
     fn sync_with_unknown_nodes(&mut self, rows: &[Row]) {
         let records: Vec<Vec<Record>> = rows
             .iter()
-            .filter_map(|row| rmp_serde::from_slice(&row.value).ok())
+            .filter_map(|row| encoding::decode(&row.value).ok())
             .collect();
         for records in records {
             let unknown: Vec<_> = records
                 .iter()
                 .filter(|record| !self.is_known_and_reachable(record))
-                .filter_map(|record| record.address.parse().ok())
+                .filter_map(address_of)
                 .filter(|address| *address != self.address)
                 .collect();
             if let Some(address) = unknown.choose(&mut self.random) {
--- a/crates/lentilshunt-node/src/fleet/node_registry.rs
+++ b/crates/lentilshunt-node/src/fleet/node_registry.rs
@@ -9,8 +9,9 @@
 };
 
 use lentilshunt_core::{
+    encoding,
     id::InstanceId,
-    membership::{Missing, Record, View, rendezvous_weight},
+    membership::{Missing, Record, View, address_of, rendezvous_weight},
 };
 use slog::{info, warn};
 use tokio::sync::watch;
@@ -143,7 +144,7 @@
         let own_row = present.iter().find(|change| change.key == *own);
         let own_value = own_row.and_then(|change| change.value.as_ref());
         let own_record = own_value
-            .and_then(|value| rmp_serde::from_slice::<Registration>(value).ok())
+            .and_then(|value| encoding::decode::<Registration>(value).ok())
             .map(|registration| registration.record);
         self.apply_changes(present);
         self.restorations.send_replace(Restoration { own_record });
@@ -202,9 +203,14 @@
             info!(log, "node removed"; "node" => key);
             return;
         };
-        match rmp_serde::from_slice::<Registration>(&value) {
+        match encoding::decode::<Registration>(&value) {
             Ok(registration) if registration.record.instance == key => {
                 let record = &registration.record;
+                if address_of(record).is_none() {
+                    warn!(log, "node registration without a usable address, row ignored";
+                        "node" => &key, "address" => &record.address);
+                    return;
+                }
                 if self.is_outdated(record) {
                     info!(log, "older row of a node ignored"; "node" => &key,
                         "sequence" => record.sequence);
@@ -242,7 +248,7 @@
     candidates
         .into_iter()
         .filter_map(|Registration { record, .. }| {
-            Some((record.instance.clone(), record.address.parse().ok()?))
+            Some((record.instance.clone(), address_of(record)?))
         })
         .collect()
 }
