test(quota,rollout): show that the highest numbers in a report end no node

Counts, ages and shares at the ends of their types, and sums of times that are infinite or no number, in reports of quotas and of roll-outs and in replies.

No fault was found. Both tests were seen to fail by a mutation: a sum of counts that does not saturate ("attempt to add with overflow"), and an age in seconds that is doubled ("overflow when multiplying duration by scalar").

--- a/crates/lentilshunt-core/tests/quota.rs
+++ b/crates/lentilshunt-core/tests/quota.rs
@@ -9,7 +9,7 @@
 
 use lentilshunt_core::{
     organisation::{Directory, Organisation, Quota},
-    quota::{Accounts, Admissions, Reply, Report},
+    quota::{ALL, Accounts, Admissions, Limit, Reply, Report, Usage},
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use rstest::rstest;
@@ -254,3 +254,40 @@
     let usages = node.take_usages();
     assert_eq!((usages[0].asked, usages[0].admitted), (7, 1));
 }
+
+// A report with the highest or lowest numbers must not end the node that accounts.
+#[rstest]
+#[case(i32::MAX)]
+#[case(i32::MIN)]
+fn settle_highest_numbers(#[case] admitted: i32) {
+    let organisation = Fleet::new(1, 10.0).organisation();
+    let mut organisations = Directory::new([0; 32]);
+    let name = organisation.name.to_string();
+    organisations.insert(organisation.clone(), &[]);
+    let mut accounts = Accounts::default();
+    let now = Instant::now();
+    let usage = Usage {
+        organisation: name,
+        asked: u32::MAX,
+        admitted,
+    };
+    let report = Report {
+        node: "a".to_owned(),
+        usages: vec![usage; 3],
+    };
+    let reply = accounts.settle(&report, &organisations, usize::MAX, now);
+    assert!(reply.limits.iter().all(|limit| limit.share <= ALL));
+    let highest = Limit {
+        organisation: organisation.name.to_string(),
+        share: u16::MAX,
+    };
+    let mut admissions = Admissions::default();
+    admissions.apply(
+        &Reply {
+            limits: vec![highest],
+        },
+        now,
+    );
+    admissions.restore_usages(report.usages);
+    assert!(admissions.admit(&organisation, usize::MAX, u32::MAX, now));
+}
--- a/crates/lentilshunt-core/tests/rollout.rs
+++ b/crates/lentilshunt-core/tests/rollout.rs
@@ -8,7 +8,7 @@
 use lentilshunt_core::{
     membership::{Endpoint, Phase},
     overload::Kind,
-    rollout::{Evidence, Mode, Order, Outcome, Plan, Report, Trial},
+    rollout::{Evidence, KindSample, Mode, Order, Outcome, Plan, Report, Sample, Trial},
     routing::ServiceRoute,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -258,3 +258,43 @@
         .collect();
     assert_eq!(selected, expected);
 }
+
+// A report with the highest numbers must not end the node that decides.
+#[rstest]
+#[case(f64::INFINITY)]
+#[case(f64::NEG_INFINITY)]
+#[case(f64::NAN)]
+fn settle_highest_numbers(#[case] log_time: f64) {
+    let now = Instant::now();
+    let order = Order {
+        duration: Duration::from_secs(1_000_000_000),
+        ..order()
+    };
+    let mut trial = Trial::new(order, u16::MAX, now);
+    let sample = Sample {
+        runs: u32::MAX,
+        failed: 0,
+        timed: u32::MAX,
+        log_time,
+    };
+    let kind = KindSample {
+        rank: u8::MAX,
+        idempotent: true,
+        sample,
+    };
+    for (node, is_new) in [("a", true), ("b", false)] {
+        let report = Report {
+            node: node.to_owned(),
+            service: "yard".to_owned(),
+            version: "v2".to_owned(),
+            age_ms: u64::MAX,
+            mode: Mode::Trial(u16::MAX),
+            is_new: Some(is_new),
+            evidence: Evidence { kinds: vec![kind] },
+        };
+        trial.settle(report, now);
+    }
+    assert_eq!(trial.fault(), None);
+    assert_eq!(trial.age(now), Duration::from_millis(u64::MAX));
+    assert_eq!(trial.outcome(), Outcome::Active);
+}
