--- a/crates/lentilshunt-node/tests/fleet/stop.rs
+++ b/crates/lentilshunt-node/tests/fleet/stop.rs
@@ -162,6 +162,7 @@
             },
             header_names: HeaderNames {
                 request_id: name("attempt"),
+                signature: name("seal"),
                 deadline_ms: name("deadline"),
                 caller: name("caller"),
                 expected_process: name("expected"),
