test(relay): try each cut on new and kept connections and both kinds of routes

call_with_response_cut_at_any_byte tried each cut in one of these four combinations only, in turns. Each cut is now tried in all of them.

--- a/crates/lentilshunt-node/tests/relay/cut.rs
+++ b/crates/lentilshunt-node/tests/relay/cut.rs
@@ -158,7 +158,10 @@
     let (response, head_length) = response(form);
     let ends_with_connection = form.ends_with("until-close");
     let body_cuts = (head_length + 1..response.len()).step_by(37);
-    for (index, cut) in (0..=head_length).chain(body_cuts).enumerate() {
+    // Each cut is tried on a new and a kept connection, on both kinds of routes.
+    let cuts = (0..=head_length).chain(body_cuts);
+    let cuts = cuts.flat_map(|cut| [cut; 4]);
+    for (index, cut) in cuts.enumerate() {
         let is_kept = index % 2 == 0;
         if is_kept {
             serve_another(&nodes, caller).await;
