fix(relay): do not pass the close of a connection between nodes on to the caller

Cause: a stopping node asks other nodes to close their connections with `connection: close`, and the node that had sent the call passed the header on with the response. It applies to the connection between the nodes only and is now removed.

call_at_stopping_node_from_caller_of_another failed before (close in place of none) and passes; so do both cases of run_series_of_stops.

Checked: linter, tests of the relay, run_series_of_stops.

--- a/crates/lentilshunt-node/src/relay/node_headers.rs
+++ b/crates/lentilshunt-node/src/relay/node_headers.rs
@@ -4,7 +4,7 @@
 
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
-    header::{EXPECT, HeaderValue},
+    header::{CONNECTION, EXPECT, HeaderValue},
 };
 use lentilshunt_core::{
     id::VersionId,
@@ -183,6 +183,8 @@
 pub fn read_reply(mut response: Response<Body>) -> Option<Reply> {
     let notice = read_notice(response.headers());
     response.headers_mut().remove(NOTICE_HEADER);
+    // Applies to the connection between the nodes only.
+    response.headers_mut().remove(CONNECTION);
     let header = response.headers_mut().remove(REPLY_HEADER)?;
     let mut parts = header.to_str().ok()?.split(' ');
     let verdict = Verdict::from_header(parts.next()?)?;
--- a/crates/lentilshunt-node/tests/relay/call.rs
+++ b/crates/lentilshunt-node/tests/relay/call.rs
@@ -391,6 +391,19 @@
     assert_eq!(run_count(&nodes), 1);
 }
 
+// The caller's connection was closed because the other node closed its own.
+#[tokio::test]
+async fn call_at_stopping_node_from_caller_of_another() {
+    let nodes = nodes(2).await;
+    nodes[1].stop.cancel();
+    nodes[0]
+        .executor
+        .apply_report(&report("p1", 2, Phase::Draining), Instant::now());
+    let response = call(&nodes[0], "/x", &[], empty()).await;
+    assert_eq!(response.status, StatusCode::OK);
+    assert_eq!(response.headers.get("connection"), None);
+}
+
 /// A response lost by a living upstream is not retried and does not make the request a suspect.
 #[tokio::test]
 async fn call_with_lost_response() {
