--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -193,8 +193,25 @@
     }
 }
 
-fn shared() -> Arc<Shared> {
+fn header_names() -> HeaderNames {
     let name = HeaderName::from_static;
+    HeaderNames {
+        request_id: name("attempt"),
+        signature: name("seal"),
+        deadline_ms: name("deadline"),
+        caller: name("caller"),
+        expected_process: name("expected"),
+        process: name("process"),
+        load: name("load"),
+        not_run: name("not-run"),
+        rate_limit: name("limit"),
+        leaving: name("leaving"),
+        organisation: name("organisation"),
+        key_scheme: "Key",
+    }
+}
+
+fn shared() -> Arc<Shared> {
     Arc::new(Shared {
         locality: Locality::new(
             "n0".to_owned(),
@@ -202,20 +219,7 @@
             "region-a".to_owned(),
         ),
         service: "service-a".to_owned(),
-        header_names: HeaderNames {
-            request_id: name("attempt"),
-            signature: name("seal"),
-            deadline_ms: name("deadline"),
-            caller: name("caller"),
-            expected_process: name("expected"),
-            process: name("process"),
-            load: name("load"),
-            not_run: name("not-run"),
-            rate_limit: name("limit"),
-            leaving: name("leaving"),
-            organisation: name("organisation"),
-            key_scheme: "Key",
-        },
+        header_names: header_names(),
         retry_allowance: ArcSwap::from_pointee(FleetBudget {
             percent: 20,
             slack: 10,
--- a/crates/lentilshunt-node/tests/fleet/stop.rs
+++ b/crates/lentilshunt-node/tests/fleet/stop.rs
@@ -11,7 +11,6 @@
 };
 
 use bytes::Bytes;
-use hyper::header::HeaderName;
 use lentilshunt_core::{
     membership::{LocalRecord, Phase},
     retry::FleetBudget,
@@ -20,7 +19,7 @@
 };
 use lentilshunt_node::{
     fleet::{Codec, DecodeError, ListenAddresses, NodeSettings, Registration, run},
-    relay::{HeaderNames, upstream::Report},
+    relay::upstream::Report,
     rollout::Settings,
 };
 use slog::{Discard, Logger, o};
@@ -34,7 +33,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use super::{Store, TABLE};
+use super::{Store, TABLE, header_names};
 
 const SERVICE: &str = "bales";
 /// Time between the signal and the end of a node's process.
@@ -146,7 +145,6 @@
             readiness: free_address().await,
             metrics: free_address().await,
         };
-        let name = HeaderName::from_static;
         let settings = NodeSettings {
             locality: Locality::new("n0".to_owned(), "yard".to_owned(), "coast".to_owned()),
             service: SERVICE.to_owned(),
@@ -160,20 +158,7 @@
                 percent: 20,
                 slack: 10,
             },
-            header_names: HeaderNames {
-                request_id: name("attempt"),
-                signature: name("seal"),
-                deadline_ms: name("deadline"),
-                caller: name("caller"),
-                expected_process: name("expected"),
-                process: name("process"),
-                load: name("load"),
-                not_run: name("not-run"),
-                rate_limit: name("limit"),
-                leaving: name("leaving"),
-                organisation: name("organisation"),
-                key_scheme: "Key",
-            },
+            header_names: header_names(),
             rules_row: (TABLE.to_owned(), "rules".to_owned()),
             rollouts: Settings::default(),
             nodes_table: TABLE.to_owned(),
--- a/crates/lentilshunt-node/tests/relay/call.rs
+++ b/crates/lentilshunt-node/tests/relay/call.rs
@@ -266,36 +266,6 @@
     assert_eq!(response.headers["connection"], "close");
 }
 
-// A call kept waiting for a slot beside a process that was about to end.
-#[tokio::test]
-async fn call_waiting_at_node_that_begins_to_refuse() {
-    let nodes = nodes(2).await;
-    nodes[0]
-        .executor
-        .apply_report(&report("p1", 2, Phase::Draining), Instant::now());
-    let waiting = async {
-        while nodes[1].upstream.running.load(Ordering::SeqCst) < 2 {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-        let sent_at = Instant::now();
-        let response = call(&nodes[0], "/once/x", &[], empty()).await;
-        (response.status, sent_at.elapsed())
-    };
-    let refusal = async {
-        tokio::time::sleep(Duration::from_millis(200)).await;
-        nodes[1].shared.lifetime.refuse_calls();
-    };
-    let (_, _, (status, elapsed), ()) = tokio::join!(
-        call(&nodes[0], "/slow/1", &[], empty()),
-        call(&nodes[0], "/slow/2", &[], empty()),
-        waiting,
-        refusal
-    );
-    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
-    assert!(elapsed < Duration::from_millis(400), "{elapsed:?}");
-    assert_eq!(run_count(&nodes), 2);
-}
-
 /// Sends a call to the second node, whose slots are taken, and lets `change` happen 200 ms later.
 ///
 /// Returns the status of the response and the elapsed time.
@@ -324,6 +294,17 @@
     waited
 }
 
+// A call kept waiting for a slot beside a process that was about to end.
+#[tokio::test]
+async fn call_waiting_at_node_that_begins_to_refuse() {
+    let nodes = nodes(2).await;
+    let change = |node: &Node| node.shared.lifetime.refuse_calls();
+    let (status, elapsed) = call_waiting_during(&nodes, change).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(elapsed < Duration::from_millis(400), "{elapsed:?}");
+    assert_eq!(run_count(&nodes), 2);
+}
+
 // A call went on waiting for a slot of an upstream that had begun to drain.
 #[tokio::test]
 async fn call_waiting_at_upstream_that_begins_to_drain() {
--- a/crates/lentilshunt-node/tests/relay/server.rs
+++ b/crates/lentilshunt-node/tests/relay/server.rs
@@ -1,6 +1,6 @@
 //! Tests of the server of callers and other nodes.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::{Request, Response, body::Incoming};
 use lentilshunt_net::{BoxFuture, http::Shutdown};
@@ -46,17 +46,23 @@
     }
 }
 
-// A panic closed the connection without a response.
-#[tokio::test]
-async fn run_with_handler_that_panics() {
+/// Starts a server on a free port.
+async fn bind(handler: impl Handler + 'static) -> (Server, SocketAddr) {
     let limits = HeaderLimits {
         max_header_bytes: 16 * 1024,
         header_timeout: Duration::from_secs(5),
     };
     let address = "127.0.0.1:0".parse().expect("an address");
-    let server = Server::bind(address, Arc::new(Panicking), limits).await;
+    let server = Server::bind(address, Arc::new(handler), limits).await;
     let server = server.expect("a free port");
     let address = server.address().expect("an address");
+    (server, address)
+}
+
+// A panic closed the connection without a response.
+#[tokio::test]
+async fn run_with_handler_that_panics() {
+    let (server, address) = bind(Panicking).await;
     let shutdown = Shutdown::default();
     let running = tokio::spawn(server.run(shutdown.clone()));
     let mut client = TcpStream::connect(address).await.expect("a connection");
@@ -77,14 +83,7 @@
 // Connections that wait to be accepted when the listener closes have sent requests already.
 #[tokio::test]
 async fn run_serves_connections_in_backlog() {
-    let limits = HeaderLimits {
-        max_header_bytes: 16 * 1024,
-        header_timeout: Duration::from_secs(5),
-    };
-    let address = "127.0.0.1:0".parse().expect("an address");
-    let server = Server::bind(address, Arc::new(Slow::default()), limits).await;
-    let server = server.expect("a free port");
-    let address = server.address().expect("an address");
+    let (server, address) = bind(Slow::default()).await;
     let mut clients = Vec::new();
     for _ in 0..20 {
         let mut client = TcpStream::connect(address).await.expect("a connection");
@@ -112,15 +111,7 @@
 #[case::ahead(true)]
 #[tokio::test]
 async fn run_serves_request_that_has_arrived_on_open_connection(#[case] starts_early: bool) {
-    let limits = HeaderLimits {
-        max_header_bytes: 16 * 1024,
-        header_timeout: Duration::from_secs(5),
-    };
-    let address = "127.0.0.1:0".parse().expect("an address");
-    let handler = Arc::new(Slow { starts_early });
-    let server = Server::bind(address, handler, limits).await;
-    let server = server.expect("a free port");
-    let address = server.address().expect("an address");
+    let (server, address) = bind(Slow { starts_early }).await;
     let shutdown = Shutdown::default();
     let running = tokio::spawn(server.run(shutdown.clone()));
     let mut client = TcpStream::connect(address).await.expect("a connection");
@@ -155,14 +146,7 @@
 // A connection that the runtime had not noticed when the listener closed was cut off.
 #[tokio::test]
 async fn run_serves_unnoticed_connection_in_backlog() {
-    let limits = HeaderLimits {
-        max_header_bytes: 16 * 1024,
-        header_timeout: Duration::from_secs(5),
-    };
-    let address = "127.0.0.1:0".parse().expect("an address");
-    let server = Server::bind(address, Arc::new(Slow::default()), limits).await;
-    let server = server.expect("a free port");
-    let address = server.address().expect("an address");
+    let (server, address) = bind(Slow::default()).await;
     let shutdown = Shutdown::default();
     let running = tokio::spawn(server.run(shutdown.clone()));
     tokio::time::sleep(Duration::from_millis(50)).await;
