--- a/review/common/case.py
+++ b/review/common/case.py
@@ -105,6 +105,7 @@
         world.record("cannot run", error=traceback.format_exc().replace("\n", " | "))
         code = EXIT_CANNOT_RUN
     finally:
+        await end_tasks()
         await world.end()
     world.record("ends", code=code, problems=len(world.problems))
     world.record_file.close()
@@ -113,5 +114,15 @@
     return code
 
 
+async def end_tasks():
+    """Ends what the case has left running."""
+    # Connections that are still open end with the process, without a warning each.
+    asyncio.StreamWriter.__del__ = lambda writer: None
+    tasks = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 async def sleep_until(at):
     await asyncio.sleep(max(0.0, at - time.monotonic()))
