--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A server leaves, its node is killed and starts again, and a heartbeat arrives late."""
+"""Nodes are stopped and started in turn while a request that crashes servers comes again."""
 
 import asyncio
 import pathlib
@@ -9,80 +9,147 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common"))
 
 import case as common
-from case import TROUBLE, Client, configuration, route, sleep_until
+import http1
+from case import HOST, TROUBLE, Client, configuration, route
 from world import CONTACT_S
 
-DRAIN_TIMEOUT_S = 2.0
+NODES = 6
+POISON = "/once/poison"
+POISON_PAUSE_S = 0.8
+SERVER_BACK_S = 2.0
+GRACE_PERIOD_S = 6.0
 RESTART_DELAY_S = 0.5
-TOUCH_MARGIN_S = 0.2
-SERVICES = ["books", "books", "front", "front"]
-REQUESTS_PER_S = 12
-LATE_S = 3.0
-SERVES_ON_S = 9.0
+GAP_S = 9.0
+MOST_RETRIES = 3
+USUAL_PER_S = 30
 
 
-async def send_steadily(world, clients):
-    """Sends requests through the nodes beside servers of the other service in turn."""
+async def crash_on_poison(server, reader, writer, head):
+    """Crashes the server when it begins to run the request; it is back after some seconds."""
+    method, path, _ = head.start.split(" ", 2)
+    if path != POISON or head.get("expect-instance") not in ("", server.ident):
+        return None
+    world = server.world
+    await http1.read_body(reader, head)
+    world.record("crashes", id=head.get("attempt-id"), server=server.ident,
+                 others=server.running)
+    node = next(node for node in world.nodes if node.app == server.address)
+    await server.crash()
+
+    async def come_back():
+        await asyncio.sleep(SERVER_BACK_S)
+        again = await world.add_server(node)
+        again.behave = crash_on_poison
+
+    world.tasks.append(asyncio.create_task(come_back()))
+    return False
+
+
+async def send_poison(world, node):
+    """Sends the request that crashes servers once, with an id of its own."""
+    ident = world.new_id()
+    world.requests[ident] = ("POST", POISON, b"")
+    world.record("poison is sent", id=ident, node=node.ident)
+    world.poison_at[ident] = (time.monotonic(), node)
+    try:
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(*node.outbound), 1.0)
+        try:
+            writer.write(http1.encode(f"POST {POISON} HTTP/1.1", [
+                ("Host", HOST), ("Attempt-Id", ident), ("Deadline-Ms", "1500")]))
+            head = await asyncio.wait_for(http1.read_head(reader), 1.5)
+            status = head.status if head else "closed"
+        finally:
+            writer.close()
+    except (OSError, http1.Closed, asyncio.TimeoutError):
+        status = "none"
+    world.record("poison is answered", id=ident, status=status)
+
+
+async def send_poison_again(world):
+    """Sends it at one machine after the other."""
+    count = 0
+    while True:
+        world.tasks.append(asyncio.create_task(
+            send_poison(world, world.nodes[count % len(world.nodes)])))
+        count += 1
+        await asyncio.sleep(POISON_PAUSE_S)
+
+
+async def send_usual(world, clients):
     count = 0
-    tasks = []
     while True:
-        method, prefix = (("GET", "/read/"), ("POST", "/once/"))[count % 2]
-        tasks.append(asyncio.create_task(clients[count % len(clients)].send(method, prefix)))
+        world.tasks.append(asyncio.create_task(
+            clients[count % len(clients)].send("POST", "/once/")))
         count += 1
-        await asyncio.sleep(1 / REQUESTS_PER_S)
+        await asyncio.sleep(1 / USUAL_PER_S)
+
+
+async def restart_in_turn(world):
+    for node in world.nodes:
+        node.signal(signal.SIGTERM)
+        if await node.exited(GRACE_PERIOD_S) is None:
+            node.signal(signal.SIGKILL)
+            await node.exited(1.0)
+        await asyncio.sleep(RESTART_DELAY_S)
+        node.start()
+        await asyncio.sleep(GAP_S)
 
 
 async def run(world):
-    await world.store.operator_write("op", "config", configuration(
-        1, ["books", "front"], [
-        route("read", "/read/", "idempotent", "books"),
+    world.tasks, world.poison_at = [], {}
+    await world.store.operator_write("op", "config", configuration(1, ["books"], [
         route("once", "/once/", "non_idempotent", "books")]))
-    for service in SERVICES:
-        world.add_node(service, "zone", "region")
+    for index in range(NODES):
+        world.add_node("books", f"zone-{index % 3}", "region")
     for node in world.nodes:
         node.start()
-        await world.add_server(node)
+        server = await world.add_server(node)
+        server.behave = crash_on_poison
     await world.wait_ready()
     await asyncio.sleep(4)
-    near = world.nodes[0]
-    callers = [node for node in world.nodes if node.service == "front"]
-    clients = [Client(world, node) for _ in range(6) for node in callers]
-    sending = asyncio.create_task(send_steadily(world, clients))
-    await asyncio.sleep(4)
-
-    # The last heartbeat before the server leaves is the one that arrives late.
-    server = world.servers["i-0-0"]
-    server.stop_beats()
-    late = server.compose_heartbeat()
-    world.record("heartbeat is held up", server=server.ident, sequence=late["Status"]["Sequence"])
-    late_at = time.monotonic() + LATE_S
-    await asyncio.sleep(0.1)
-    server.is_leaving = True
-    left_at = await server.deregister()
-    if left_at is None:
-        raise common.CannotRun("the deregistration was not acknowledged")
-    world.record("leaving is acknowledged", server=server.ident)
-    touch_at = left_at
+    clients = [Client(world, node) for _ in range(4) for node in world.nodes]
+    sending = [asyncio.create_task(send_poison_again(world)),
+               asyncio.create_task(send_usual(world, clients))]
+    await asyncio.sleep(8)
     if TROUBLE:
-        near.signal(signal.SIGKILL)
-        await near.exited(2.0)
-        await asyncio.sleep(RESTART_DELAY_S)
-        near.start()
-        touch_at = time.monotonic() + CONTACT_S + TOUCH_MARGIN_S
-    await sleep_until(late_at)
-    acknowledged = await server.heartbeat(late)
-    world.record("late heartbeat arrives", acknowledged=acknowledged is not None)
-    await sleep_until(left_at + SERVES_ON_S)
-    sending.cancel()
-    await server.crash()
+        await restart_in_turn(world)
+    else:
+        await asyncio.sleep(NODES * (GAP_S + 3.5))
+    for task in sending:
+        task.cancel()
 
-    sent_at = {fields["id"]: at for at, what, fields in world.events if what == "sent"}
-    bound = max(left_at + DRAIN_TIMEOUT_S, touch_at)
+    crashes = [(at, fields) for at, what, fields in world.events if what == "crashes"]
+    lost = sum(fields["others"] for _, fields in crashes)
+    print(f"{len(crashes)} crashes, {lost} other requests ran on those servers")
+    if len(crashes) < 3:
+        world.record("no third crash")
+        return
+    third_at = crashes[2][0]
+    starts = {}
     for at, what, fields in world.events:
-        if what == "arrives" and fields["server"] == server.ident \
-                and sent_at.get(fields["id"], 0) > bound:
-            world.problem(f"DRAIN: {fields['id']} reaches {server.ident} {at - left_at:.2f} s "
-                          "after its leaving was acknowledged")
+        if what == "node starts":
+            starts.setdefault(fields["node"], []).append(at)
+    stops = {}
+    for at, what, fields in world.events:
+        if what == "signal":
+            stops.setdefault(fields["node"], []).append(at)
+
+    def is_in_touch(node, at):
+        troubled = starts[node.ident] + stops.get(node.ident, [])
+        return all(not at - CONTACT_S <= trouble <= at for trouble in troubled)
+
+    retries = []
+    for at, fields in crashes:
+        sent_at, entered = world.poison_at[fields["id"]]
+        address = world.servers[fields["server"]].address
+        ran_at = next(node for node in world.nodes if node.app == address)
+        if sent_at > third_at + CONTACT_S and is_in_touch(entered, sent_at) \
+                and is_in_touch(ran_at, at):
+            retries.append(fields["id"])
+    world.record("retries later than Contact after the third crash", count=len(retries))
+    if len(retries) > MOST_RETRIES:
+        world.problem(f"BUDGET: the request that crashes servers reaches them in {len(retries)} "
+                      f"retries, sent later than Contact after it has crashed the third")
 
 
 common.main(run)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,111 +1,88 @@
-"""Servers in trouble send bodies without end; the route's timeout must end the requests."""
+"""A server leaves, its node is killed and starts again, and a heartbeat arrives late."""
 
 import asyncio
 import pathlib
+import signal
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common"))
 
 import case as common
-import http1
-from case import HOST, TROUBLE, configuration, route
-
-TIMEOUT_S = 1.2
-DEADLINE_S = 5.0
-GRACE_S = 0.5
-REQUESTS_PER_S = 30
-DURATION_S = 20.0
-TROUBLED_SERVERS = 2
-SPOILED_SHARE = 0.05
-PIECE = b"\x00" * 32 * 1024
-PIECE_PAUSE_S = 0.05
-LEAST_LATE, LATE_SHARE = 8, 0.25
-
-
-async def answer_without_end(server, reader, writer, head):
-    """Spoils the answers chosen by the case; returns None for others."""
-    ident = head.get("attempt-id")
-    if ident not in server.world.spoiled or head.get("expect-instance") not in ("", server.ident):
-        return None
-    method, path, _ = head.start.split(" ", 2)
-    body = await http1.read_body(reader, head)
-    await server.run(reader, head, ident, method, path, body)
-    headers = [("Server-Seal", f"seal.{server.ident}")] + server.common_headers(ident)
-    lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
-    writer.write(f"HTTP/1.1 200 OK\r\n{lines}Transfer-Encoding: chunked\r\n\r\n".encode())
-    while not writer.is_closing():
-        writer.write(b"%x\r\n%s\r\n" % (len(PIECE), PIECE))
-        await writer.drain()
-        await asyncio.sleep(PIECE_PAUSE_S)
-    server.world.record("caller has closed", id=ident, server=server.ident)
-    return False
-
-
-async def send(world, node, ends):
-    """Sends a request on a connection of its own and records how long it lasts."""
-    ident = world.new_id()
-    path = f"/read/{ident}"
-    world.requests[ident] = ("GET", path, b"")
-    if TROUBLE and world.random.random() < SPOILED_SHARE:
-        world.spoiled.add(ident)
-    sent_at = time.monotonic()
-
-    async def exchange():
-        reader, writer = await asyncio.open_connection(*node.outbound)
-        try:
-            writer.write(http1.encode(f"GET {path} HTTP/1.1", [
-                ("Host", HOST), ("Attempt-Id", ident),
-                ("Deadline-Ms", str(int(DEADLINE_S * 1000)))]))
-            head = await http1.read_head(reader)
-            if head is None:
-                return "connection ended"
-            await http1.read_body(reader, head, is_response=True)
-            return f"status {head.status}"
-        except (http1.Closed, ConnectionError):
-            return "connection ended"
-        finally:
-            writer.close()
-
-    world.record("sent", id=ident, node=node.ident, spoiled=ident in world.spoiled)
-    try:
-        end = await asyncio.wait_for(exchange(), DEADLINE_S)
-    except (OSError, asyncio.TimeoutError):
-        end = "nothing until the deadline"
-    lasted = time.monotonic() - sent_at
-    ends.append((ident, lasted))
-    world.record("ends", id=ident, after_s=f"{lasted:.2f}", by=end.replace(" ", "-"))
+from case import TROUBLE, Client, configuration, route, sleep_until
+from world import CONTACT_S
+
+DRAIN_TIMEOUT_S = 2.0
+RESTART_DELAY_S = 0.5
+TOUCH_MARGIN_S = 0.2
+SERVICES = ["books", "books", "front", "front"]
+REQUESTS_PER_S = 12
+LATE_S = 3.0
+SERVES_ON_S = 9.0
+
+
+async def send_steadily(world, clients):
+    """Sends requests through the nodes beside servers of the other service in turn."""
+    count = 0
+    tasks = []
+    while True:
+        method, prefix = (("GET", "/read/"), ("POST", "/once/"))[count % 2]
+        tasks.append(asyncio.create_task(clients[count % len(clients)].send(method, prefix)))
+        count += 1
+        await asyncio.sleep(1 / REQUESTS_PER_S)
 
 
 async def run(world):
-    world.spoiled = set()
-    await world.store.operator_write("op", "config", configuration(1, ["books"], [
-        route("read", "/read/", "idempotent", "books", timeout=f"{int(TIMEOUT_S * 1000)}ms")]))
-    for index in range(4):
-        world.add_node("books", f"zone-{index % 2}", "region")
+    await world.store.operator_write("op", "config", configuration(
+        1, ["books", "front"], [
+        route("read", "/read/", "idempotent", "books"),
+        route("once", "/once/", "non_idempotent", "books")]))
+    for service in SERVICES:
+        world.add_node(service, "zone", "region")
     for node in world.nodes:
         node.start()
-        server = await world.add_server(node)
-        if node.index < TROUBLED_SERVERS:
-            server.behave = answer_without_end
+        await world.add_server(node)
     await world.wait_ready()
     await asyncio.sleep(4)
+    near = world.nodes[0]
+    callers = [node for node in world.nodes if node.service == "front"]
+    clients = [Client(world, node) for _ in range(6) for node in callers]
+    sending = asyncio.create_task(send_steadily(world, clients))
+    await asyncio.sleep(4)
 
-    ends, tasks = [], []
-    started = time.monotonic()
-    while time.monotonic() - started < DURATION_S:
-        node = world.nodes[len(tasks) % len(world.nodes)]
-        tasks.append(asyncio.create_task(send(world, node, ends)))
-        await asyncio.sleep(1 / REQUESTS_PER_S)
-    await asyncio.gather(*tasks)
-
-    long = [lasted for _, lasted in ends if lasted > TIMEOUT_S]
-    late = [lasted for lasted in long if lasted > TIMEOUT_S + GRACE_S]
-    print(f"{len(ends)} requests, {len(long)} longer than the timeout, {len(late)} of them not "
-          f"ended {GRACE_S} s after it")
-    if len(late) >= LEAST_LATE and len(late) > LATE_SHARE * len(long):
-        world.problem(f"CONFIG: {len(late)} of {len(long)} requests that last longer than their "
-                      f"route's timeout have no final answer {GRACE_S} s after it")
+    # The last heartbeat before the server leaves is the one that arrives late.
+    server = world.servers["i-0-0"]
+    server.stop_beats()
+    late = server.compose_heartbeat()
+    world.record("heartbeat is held up", server=server.ident, sequence=late["Status"]["Sequence"])
+    late_at = time.monotonic() + LATE_S
+    await asyncio.sleep(0.1)
+    server.is_leaving = True
+    left_at = await server.deregister()
+    if left_at is None:
+        raise common.CannotRun("the deregistration was not acknowledged")
+    world.record("leaving is acknowledged", server=server.ident)
+    touch_at = left_at
+    if TROUBLE:
+        near.signal(signal.SIGKILL)
+        await near.exited(2.0)
+        await asyncio.sleep(RESTART_DELAY_S)
+        near.start()
+        touch_at = time.monotonic() + CONTACT_S + TOUCH_MARGIN_S
+    await sleep_until(late_at)
+    acknowledged = await server.heartbeat(late)
+    world.record("late heartbeat arrives", acknowledged=acknowledged is not None)
+    await sleep_until(left_at + SERVES_ON_S)
+    sending.cancel()
+    await server.crash()
+
+    sent_at = {fields["id"]: at for at, what, fields in world.events if what == "sent"}
+    bound = max(left_at + DRAIN_TIMEOUT_S, touch_at)
+    for at, what, fields in world.events:
+        if what == "arrives" and fields["server"] == server.ident \
+                and sent_at.get(fields["id"], 0) > bound:
+            world.problem(f"DRAIN: {fields['id']} reaches {server.ident} {at - left_at:.2f} s "
+                          "after its leaving was acknowledged")
 
 
 common.main(run)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,7 @@
-"""Nodes are stopped and started in turn while a request that crashes servers comes again."""
+"""Servers in trouble send bodies without end; the route's timeout must end the requests."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 import time
 
@@ -10,146 +9,103 @@
 
 import case as common
 import http1
-from case import HOST, TROUBLE, Client, configuration, route
-from world import CONTACT_S
-
-NODES = 6
-POISON = "/once/poison"
-POISON_PAUSE_S = 0.8
-SERVER_BACK_S = 2.0
-GRACE_PERIOD_S = 6.0
-RESTART_DELAY_S = 0.5
-GAP_S = 9.0
-MOST_RETRIES = 3
-USUAL_PER_S = 30
-
-
-async def crash_on_poison(server, reader, writer, head):
-    """Crashes the server when it begins to run the request; it is back after some seconds."""
-    method, path, _ = head.start.split(" ", 2)
-    if path != POISON or head.get("expect-instance") not in ("", server.ident):
+from case import HOST, TROUBLE, configuration, route
+
+TIMEOUT_S = 1.2
+DEADLINE_S = 5.0
+GRACE_S = 0.5
+REQUESTS_PER_S = 30
+DURATION_S = 20.0
+TROUBLED_SERVERS = 2
+SPOILED_SHARE = 0.05
+PIECE = b"\x00" * 32 * 1024
+PIECE_PAUSE_S = 0.05
+LEAST_LATE, LATE_SHARE = 8, 0.25
+
+
+async def answer_without_end(server, reader, writer, head):
+    """Spoils the answers chosen by the case; returns None for others."""
+    ident = head.get("attempt-id")
+    if ident not in server.world.spoiled or head.get("expect-instance") not in ("", server.ident):
         return None
-    world = server.world
-    await http1.read_body(reader, head)
-    world.record("crashes", id=head.get("attempt-id"), server=server.ident,
-                 others=server.running)
-    node = next(node for node in world.nodes if node.app == server.address)
-    await server.crash()
-
-    async def come_back():
-        await asyncio.sleep(SERVER_BACK_S)
-        again = await world.add_server(node)
-        again.behave = crash_on_poison
-
-    world.tasks.append(asyncio.create_task(come_back()))
+    method, path, _ = head.start.split(" ", 2)
+    body = await http1.read_body(reader, head)
+    await server.run(reader, head, ident, method, path, body)
+    headers = [("Server-Seal", f"seal.{server.ident}")] + server.common_headers(ident)
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
+    writer.write(f"HTTP/1.1 200 OK\r\n{lines}Transfer-Encoding: chunked\r\n\r\n".encode())
+    while not writer.is_closing():
+        writer.write(b"%x\r\n%s\r\n" % (len(PIECE), PIECE))
+        await writer.drain()
+        await asyncio.sleep(PIECE_PAUSE_S)
+    server.world.record("caller has closed", id=ident, server=server.ident)
     return False
 
 
-async def send_poison(world, node):
-    """Sends the request that crashes servers once, with an id of its own."""
+async def send(world, node, ends):
+    """Sends a request on a connection of its own and records how long it lasts."""
     ident = world.new_id()
-    world.requests[ident] = ("POST", POISON, b"")
-    world.record("poison is sent", id=ident, node=node.ident)
-    world.poison_at[ident] = (time.monotonic(), node)
-    try:
-        reader, writer = await asyncio.wait_for(asyncio.open_connection(*node.outbound), 1.0)
+    path = f"/read/{ident}"
+    world.requests[ident] = ("GET", path, b"")
+    if TROUBLE and world.random.random() < SPOILED_SHARE:
+        world.spoiled.add(ident)
+    sent_at = time.monotonic()
+
+    async def exchange():
+        reader, writer = await asyncio.open_connection(*node.outbound)
         try:
-            writer.write(http1.encode(f"POST {POISON} HTTP/1.1", [
-                ("Host", HOST), ("Attempt-Id", ident), ("Deadline-Ms", "1500")]))
-            head = await asyncio.wait_for(http1.read_head(reader), 1.5)
-            status = head.status if head else "closed"
+            writer.write(http1.encode(f"GET {path} HTTP/1.1", [
+                ("Host", HOST), ("Attempt-Id", ident),
+                ("Deadline-Ms", str(int(DEADLINE_S * 1000)))]))
+            head = await http1.read_head(reader)
+            if head is None:
+                return "connection ended"
+            await http1.read_body(reader, head, is_response=True)
+            return f"status {head.status}"
+        except (http1.Closed, ConnectionError):
+            return "connection ended"
         finally:
             writer.close()
-    except (OSError, http1.Closed, asyncio.TimeoutError):
-        status = "none"
-    world.record("poison is answered", id=ident, status=status)
-
-
-async def send_poison_again(world):
-    """Sends it at one machine after the other."""
-    count = 0
-    while True:
-        world.tasks.append(asyncio.create_task(
-            send_poison(world, world.nodes[count % len(world.nodes)])))
-        count += 1
-        await asyncio.sleep(POISON_PAUSE_S)
-
 
-async def send_usual(world, clients):
-    count = 0
-    while True:
-        world.tasks.append(asyncio.create_task(
-            clients[count % len(clients)].send("POST", "/once/")))
-        count += 1
-        await asyncio.sleep(1 / USUAL_PER_S)
-
-
-async def restart_in_turn(world):
-    for node in world.nodes:
-        node.signal(signal.SIGTERM)
-        if await node.exited(GRACE_PERIOD_S) is None:
-            node.signal(signal.SIGKILL)
-            await node.exited(1.0)
-        await asyncio.sleep(RESTART_DELAY_S)
-        node.start()
-        await asyncio.sleep(GAP_S)
+    world.record("sent", id=ident, node=node.ident, spoiled=ident in world.spoiled)
+    try:
+        end = await asyncio.wait_for(exchange(), DEADLINE_S)
+    except (OSError, asyncio.TimeoutError):
+        end = "nothing until the deadline"
+    lasted = time.monotonic() - sent_at
+    ends.append((ident, lasted))
+    world.record("ends", id=ident, after_s=f"{lasted:.2f}", by=end.replace(" ", "-"))
 
 
 async def run(world):
-    world.tasks, world.poison_at = [], {}
+    world.spoiled = set()
     await world.store.operator_write("op", "config", configuration(1, ["books"], [
-        route("once", "/once/", "non_idempotent", "books")]))
-    for index in range(NODES):
-        world.add_node("books", f"zone-{index % 3}", "region")
+        route("read", "/read/", "idempotent", "books", timeout=f"{int(TIMEOUT_S * 1000)}ms")]))
+    for index in range(4):
+        world.add_node("books", f"zone-{index % 2}", "region")
     for node in world.nodes:
         node.start()
         server = await world.add_server(node)
-        server.behave = crash_on_poison
+        if node.index < TROUBLED_SERVERS:
+            server.behave = answer_without_end
     await world.wait_ready()
     await asyncio.sleep(4)
-    clients = [Client(world, node) for _ in range(4) for node in world.nodes]
-    sending = [asyncio.create_task(send_poison_again(world)),
-               asyncio.create_task(send_usual(world, clients))]
-    await asyncio.sleep(8)
-    if TROUBLE:
-        await restart_in_turn(world)
-    else:
-        await asyncio.sleep(NODES * (GAP_S + 3.5))
-    for task in sending:
-        task.cancel()
-
-    crashes = [(at, fields) for at, what, fields in world.events if what == "crashes"]
-    lost = sum(fields["others"] for _, fields in crashes)
-    print(f"{len(crashes)} crashes, {lost} other requests ran on those servers")
-    if len(crashes) < 3:
-        world.record("no third crash")
-        return
-    third_at = crashes[2][0]
-    starts = {}
-    for at, what, fields in world.events:
-        if what == "node starts":
-            starts.setdefault(fields["node"], []).append(at)
-    stops = {}
-    for at, what, fields in world.events:
-        if what == "signal":
-            stops.setdefault(fields["node"], []).append(at)
-
-    def is_in_touch(node, at):
-        troubled = starts[node.ident] + stops.get(node.ident, [])
-        return all(not at - CONTACT_S <= trouble <= at for trouble in troubled)
-
-    retries = []
-    for at, fields in crashes:
-        sent_at, entered = world.poison_at[fields["id"]]
-        address = world.servers[fields["server"]].address
-        ran_at = next(node for node in world.nodes if node.app == address)
-        if sent_at > third_at + CONTACT_S and is_in_touch(entered, sent_at) \
-                and is_in_touch(ran_at, at):
-            retries.append(fields["id"])
-    world.record("retries later than Contact after the third crash", count=len(retries))
-    if len(retries) > MOST_RETRIES:
-        world.problem(f"BUDGET: the request that crashes servers reaches them in {len(retries)} "
-                      f"retries, sent later than Contact after it has crashed the third")
+
+    ends, tasks = [], []
+    started = time.monotonic()
+    while time.monotonic() - started < DURATION_S:
+        node = world.nodes[len(tasks) % len(world.nodes)]
+        tasks.append(asyncio.create_task(send(world, node, ends)))
+        await asyncio.sleep(1 / REQUESTS_PER_S)
+    await asyncio.gather(*tasks)
+
+    long = [lasted for _, lasted in ends if lasted > TIMEOUT_S]
+    late = [lasted for lasted in long if lasted > TIMEOUT_S + GRACE_S]
+    print(f"{len(ends)} requests, {len(long)} longer than the timeout, {len(late)} of them not "
+          f"ended {GRACE_S} s after it")
+    if len(late) >= LEAST_LATE and len(late) > LATE_SHARE * len(long):
+        world.problem(f"CONFIG: {len(late)} of {len(long)} requests that last longer than their "
+                      f"route's timeout have no final answer {GRACE_S} s after it")
 
 
 common.main(run)
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -8,6 +8,7 @@
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -26,6 +27,21 @@
     "RetryBudgetRatio": 0.2, "RetryWindow": "10s", "BudgetSlack": 58, "Recovery": "15s",
 }
 CONTACT_S = 3.0
+FIRST_NETWORK, NETWORKS, CLAIM_PORT = 20, 200, 8600
+
+
+def claim_network():
+    """Returns the second octet of loopback addresses that no other run uses, and the claim to it."""
+    for offset in range(NETWORKS):
+        network = FIRST_NETWORK + (os.getpid() + offset) % NETWORKS
+        claim = socket.socket()
+        try:
+            claim.bind((f"127.{network}.250.1", CLAIM_PORT))
+            claim.listen()
+            return network, claim
+        except OSError:
+            claim.close()
+    raise CannotRun("no free loopback addresses")
 
 
 class CannotRun(Exception):
@@ -113,7 +129,7 @@
     """Everything that one run starts, and the record of what happened."""
 
     def __init__(self, record_path, seed=1):
-        self.network = 20 + os.getpid() % 200
+        self.network, self.claim = claim_network()
         self.started = time.monotonic()
         self.random = random.Random(seed)
         self.temporary = tempfile.TemporaryDirectory()
