--- a/review/2/case.py
+++ b/review/2/case.py
@@ -125,18 +125,15 @@
         world.record("no third crash")
         return
     third_at = crashes[2][0]
-    starts = {}
+    changes = {node.ident: [] for node in world.nodes}
     for at, what, fields in world.events:
-        if what == "node starts":
-            starts.setdefault(fields["node"], []).append(at)
-    stops = {}
-    for at, what, fields in world.events:
-        if what == "signal":
-            stops.setdefault(fields["node"], []).append(at)
+        if what in ("node starts", "signal"):
+            changes[fields["node"]].append((at, what))
 
     def is_in_touch(node, at):
-        troubled = starts[node.ident] + stops.get(node.ident, [])
-        return all(not at - CONTACT_S <= trouble <= at for trouble in troubled)
+        """Returns whether the node's process has run, undisturbed, for Contact before."""
+        last_at, last = [change for change in changes[node.ident] if change[0] <= at][-1]
+        return last == "node starts" and at - last_at >= CONTACT_S
 
     retries = []
     for at, fields in crashes:
