test(review): show that a node is killed for its memory when nobody fetches its metrics

No disruption is needed but that the platform fetches metrics only while an incident is examined.

The platform's stand-in kills the process once its resident memory is over 88 MB.

Cause: the recorder is installed without its upkeep, so that the histogram of request times keeps each value until the metrics are rendered.

--- a/review/common/world.py
+++ b/review/common/world.py
@@ -52,7 +52,7 @@
     """A process of the system beside one server."""
 
     def __init__(self, world, index, service, zone, region, heartbeat="1500ms", bounds=None,
-                 store_address=None, bandwidth=1000.0):
+                 store_address=None, bandwidth=1000.0, memory_mb=260):
         self.world = world
         self.index = index
         self.ident = f"sidecar-{zone}-{index}"
@@ -73,7 +73,7 @@
             "ListenersTable": {"Inbound": f"{self.ip}:8624", "Outbound": f"{self.ip}:8629",
                                "Readiness": f"{self.ip}:8625", "Admin": f"{self.ip}:8620"},
             "PortRange": [7600, 7615], "SeedNodes": [], "Bootstrap": True, "FaultCounted": False,
-            "Limits": {"CpuQuota": 0.2, "CpuCores": 1, "MemoryMb": 260, "MaxFds": 4100,
+            "Limits": {"CpuQuota": 0.2, "CpuCores": 1, "MemoryMb": memory_mb, "MaxFds": 4100,
                        "BandwidthMbps": bandwidth, "DiskMb": 0},
             "DataPath": None, "DiscoverySource": "static", "EntryKind": "static",
             "Heartbeat": heartbeat, "Invariants": ["base"], "FaultTolerance": {"MaxNodes": 1},
