fix(relay): break off responses that outlast the timeout of their route

Callers saw: when an upstream sent a body without end, bytes until their own deadline, however short the timeout of the route was.

Cause: the deadline of a request bounds its attempt, which ends with the first 64 KiB of the response. The rest was bounded by the caller's timeout and a second, and only when the connection asked for the next frame. A caller that does not read, or a response that waits for its turn, was not bounded at all.

Why it works: the rest of a long response has the deadline of its request and 0.2 s more, on the node of the caller and on that of the upstream. A timer drops the body then, whether it is read or not, which closes the connection to the upstream and frees its slot. Complete responses have no bound. A counter and a log line name each response that is broken off; before, no line did.

--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -26,6 +26,7 @@
 use super::{
     Call, Executor, LogLimiter, Reply, Shared,
     body::{Body, Payload, empty, read_prefix},
+    cutoff::Cutoff,
     doubtful::{Attempt, Doubtful},
     header::is_of_another_request,
     inbound::PROBE_PATH,
@@ -47,7 +48,7 @@
 ///
 /// A response that breaks off within this size can still be replaced by another
 /// attempt.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 * 1024;
+pub(super) const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 * 1024;
 
 /// Statuses that count against the health of an endpoint; a slow upstream returns others.
 const UNHEALTHY_STATUSES: [StatusCode; 2] =
@@ -66,6 +67,7 @@
     observations: Observations,
     suspects: Arc<Suspects>,
     retry_budgets: Mutex<HashMap<ServiceId, Arc<NodeBudget>>>,
+    cutoff: Cutoff,
     log_limiter: LogLimiter,
 }
 
@@ -114,6 +116,7 @@
         suspects: Arc<Suspects>,
         pool: Arc<Pool>,
     ) -> Self {
+        let cutoff = Cutoff::new(&shared.log);
         Self {
             shared,
             executor,
@@ -124,6 +127,7 @@
             observations: Observations::new(Instant::now()),
             suspects,
             retry_budgets: Mutex::default(),
+            cutoff,
             log_limiter: LogLimiter::new(),
         }
     }
@@ -328,7 +332,7 @@
             } else {
                 self.send(endpoint, call, body, admission).await
             };
-            buffer_response(reply).await
+            buffer_response(reply, call, &self.cutoff).await
         };
         let deadline = Instant::now() + call.remaining();
         let reply = timeout_at(deadline.into(), execution).await;
@@ -543,13 +547,21 @@
 }
 
 /// Buffers a short response, so that one that breaks off is not passed on.
-async fn buffer_response(mut reply: Reply) -> Reply {
+///
+/// A longer one is broken off if it is not complete by the deadline of its call.
+async fn buffer_response(mut reply: Reply, call: &Call, cutoff: &Cutoff) -> Reply {
     let Some(response) = reply.response.take() else {
         return reply;
     };
     let (parts, body) = response.into_parts();
     match read_prefix(body, MAX_BUFFERED_RESPONSE_BYTES).await {
         Ok(payload) => {
+            let payload = match payload {
+                Payload::Streamed(prefix, rest) => {
+                    Payload::Streamed(prefix, cutoff.apply(rest, call))
+                }
+                buffered @ Payload::Buffered(_) => buffered,
+            };
             let response = hyper::Response::from_parts(parts, payload.into_body());
             reply.response = Some(response);
             reply
--- a/crates/lentilshunt-node/src/relay/expiring.rs
+++ b/crates/lentilshunt-node/src/relay/expiring.rs
@@ -2,6 +2,7 @@
 
 use std::{
     pin::Pin,
+    sync::{Arc, Mutex},
     task::{Context, Poll},
     time::Instant,
 };
@@ -9,28 +10,43 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Frame, SizeHint};
-use tokio::time::{Sleep, sleep_until};
+use tokio::time::sleep_until;
+use tokio_util::task::AbortOnDropHandle;
 
 use super::body::{Body, Error};
+use crate::executor::lock;
 
-/// A body that ends with an error if it is not complete by the deadline.
+/// A body that is dropped and ends with an error if it is not complete by a deadline.
 struct Expiring {
-    body: Body,
-    deadline: Pin<Box<Sleep>>,
-    has_begun: bool,
+    /// The body, or `None` once the deadline has passed.
+    body: Arc<Mutex<Option<Body>>>,
+    expiry: AbortOnDropHandle<()>,
 }
 
 /// Returns a body that ends with an error if it is not complete by `deadline`.
 ///
-/// Its first frame is passed on at any time, so that a response that is ready is delivered.
-pub fn with_deadline(body: Body, deadline: Instant) -> Body {
+/// The inner body is dropped then and `on_expiry` is called, also while nobody reads the body: a
+/// receiver that does not read would otherwise hold the connection to the sender forever.
+pub fn with_deadline(
+    body: Body,
+    deadline: Instant,
+    on_expiry: impl FnOnce() + Send + 'static,
+) -> Body {
     if body.is_end_stream() {
         return body;
     }
+    let body = Arc::new(Mutex::new(Some(body)));
+    let expiring = Arc::clone(&body);
+    let expiry = tokio::spawn(async move {
+        sleep_until(deadline.into()).await;
+        let expired = lock(&expiring).take();
+        if expired.is_some_and(|body| !body.is_end_stream()) {
+            on_expiry();
+        }
+    });
     Expiring {
         body,
-        deadline: Box::pin(sleep_until(deadline.into())),
-        has_begun: false,
+        expiry: AbortOnDropHandle::new(expiry),
     }
     .boxed_unsync()
 }
@@ -43,23 +59,27 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
-        if self.has_begun && self.deadline.as_mut().poll(cx).is_ready() {
-            return Poll::Ready(Some(Err("the caller no longer waits for the body".into())));
-        }
-        let polled = Pin::new(&mut self.body).poll_frame(cx);
-        if polled.is_ready() {
-            self.has_begun = true;
-        } else if self.deadline.as_mut().poll(cx).is_ready() {
-            return Poll::Ready(Some(Err("the body did not begin in time".into())));
+        let expired = || Poll::Ready(Some(Err("the body is not complete in time".into())));
+        let polled = match &mut *lock(&self.body) {
+            Some(body) => Pin::new(body).poll_frame(cx),
+            None => return expired(),
+        };
+        // Wakes the reader at the deadline.
+        if polled.is_pending() && Pin::new(&mut self.expiry).poll(cx).is_ready() {
+            return expired();
         }
         polled
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        let body = lock(&self.body);
+        body.as_ref().is_some_and(hyper::body::Body::is_end_stream)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        let body = lock(&self.body);
+        body.as_ref()
+            .map(hyper::body::Body::size_hint)
+            .unwrap_or_default()
     }
 }
--- a/crates/lentilshunt-node/src/relay/inbound.rs
+++ b/crates/lentilshunt-node/src/relay/inbound.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Instant};
 
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Body as _, Incoming},
+};
 use lentilshunt_core::{
     overload::Notice,
     quarantine::{Suspects, decode},
@@ -16,6 +19,8 @@
 use super::{
     Call, Executor, Reply, Shared,
     body::{Body, Payload, empty, from_incoming, full, read_prefix, status_response},
+    cutoff::Cutoff,
+    dispatcher::MAX_BUFFERED_RESPONSE_BYTES,
     node_headers::{read_call, read_notice, write_reply},
     outbound::MAX_BUFFERED_REQUEST_BYTES,
     server::{ClientAddress, Handler},
@@ -38,6 +43,7 @@
     accountant: Arc<Accountant>,
     coordinator: Arc<Coordinator>,
     fallback: Arc<dyn Handler>,
+    cutoff: Cutoff,
 }
 
 impl Inbound {
@@ -55,6 +61,7 @@
         coordinator: Arc<Coordinator>,
         fallback: Arc<dyn Handler>,
     ) -> Self {
+        let cutoff = Cutoff::new(&shared.log);
         Self {
             shared,
             executor,
@@ -63,6 +70,7 @@
             accountant,
             coordinator,
             fallback,
+            cutoff,
         }
     }
 
@@ -95,6 +103,7 @@
                 () = lifetime.ended() => Reply::unknown(Reason::Deadline),
             }
         };
+        let reply = self.limit_response(&call, reply);
         let notice = self.executor.notice();
         // A node that knows of a limit learns that it has ended.
         let is_news =
@@ -113,6 +122,27 @@
         }
     }
 
+    /// Bounds the time of a long response; the node that has sent the call bounds that of others,
+    /// which it buffers.
+    ///
+    /// That node may read nothing for a while, for example while its instance is suspended.
+    fn limit_response(&self, call: &Call, reply: Reply) -> Reply {
+        let Some(response) = reply.response else {
+            return reply;
+        };
+        let length = response.body().size_hint().exact();
+        let is_short = length.is_some_and(|length| length <= MAX_BUFFERED_RESPONSE_BYTES as u64);
+        let response = if is_short {
+            response
+        } else {
+            response.map(|body| self.cutoff.apply(body, call))
+        };
+        Reply {
+            response: Some(response),
+            ..reply
+        }
+    }
+
     /// Handles probes and suspicions, and passes other requests to the fallback.
     async fn handle_other(&self, request: Request<Incoming>) -> Response<Body> {
         if request.uri().path() == PROBE_PATH {
--- a/crates/lentilshunt-node/src/relay/mod.rs
+++ b/crates/lentilshunt-node/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod call;
 mod caught;
 pub mod clock;
+mod cutoff;
 mod dispatcher;
 mod doubtful;
 mod executor;
--- a/crates/lentilshunt-node/src/relay/outbound.rs
+++ b/crates/lentilshunt-node/src/relay/outbound.rs
@@ -26,7 +26,6 @@
     body::{Body, Payload, empty, from_incoming, read_prefix, status_response},
     clock::Moment,
     dispatcher::Progress,
-    expiring,
     header::end_to_end,
     log_limiter::LogLimiter,
     node_headers::header_text,
@@ -45,11 +44,6 @@
 /// Maximum part of the request's timeout for which it waits for the first rules, as a divisor.
 const STARTUP_WAIT_DIVISOR: u32 = 2;
 
-/// Time after the caller's timeout for which a response that has begun is passed on.
-///
-/// A response without a length may never end.
-const STREAM_GRACE: Duration = Duration::from_secs(1);
-
 /// Request handler of the listener for callers.
 #[derive(Debug)]
 pub struct Outbound {
@@ -150,9 +144,7 @@
         pending.has_ended = true;
         let progress = &pending.progress;
         self.record(&id, route.as_deref(), &reply, progress, arrived_at);
-        let requested_timeout = Duration::from_millis(progress.requested_timeout_ms);
-        let stream_deadline = arrived_at.instant() + requested_timeout + STREAM_GRACE;
-        into_response(reply, remaining).map(|body| expiring::with_deadline(body, stream_deadline))
+        into_response(reply, remaining)
     }
 
     async fn parse_and_dispatch(
--- a/crates/lentilshunt-node/tests/relay/main.rs
+++ b/crates/lentilshunt-node/tests/relay/main.rs
@@ -18,5 +18,6 @@
 mod repeated_refusal;
 mod reports;
 mod restart;
+mod route_timeout;
 mod server;
 mod upstream;
--- a/crates/lentilshunt-node/tests/relay/raw_upstream.rs
+++ b/crates/lentilshunt-node/tests/relay/raw_upstream.rs
@@ -135,6 +135,7 @@
     }) = read_request(&mut reader).await
     {
         let segments: Vec<&str> = path.split('/').skip(1).collect();
+        let segments = segments.strip_prefix(&["once"]).unwrap_or(&segments);
         match segments[..] {
             ["twice", delay_ms, form, ..] => {
                 let response = match form {
@@ -200,6 +201,7 @@
             }
             ["endless", part, ..] => {
                 write_endless(&writer, part, &id, &endless_bytes).await;
+                wait_for_close(&mut reader).await;
                 closed.fetch_add(1, Ordering::SeqCst);
                 return;
             }
@@ -307,6 +309,20 @@
             format!("{}connection: close\r\n\r\n", head(id)),
             "z".repeat(500),
         ),
+        "chunks" => (chunked, format!("1f4\r\n{}\r\n", "z".repeat(500))),
+        "length" => (
+            format!("{}content-length: 999999999999\r\n\r\n", head(id)),
+            "z".repeat(500),
+        ),
+        // Enough for the node to pass the response on, and nothing after it.
+        "stalled" => (
+            format!(
+                "{}content-length: 999999\r\n\r\n{}",
+                head(id),
+                "z".repeat(100_000)
+            ),
+            String::new(),
+        ),
         "garbage" => (String::new(), "\u{1}\u{2}".repeat(250)),
         other => panic!("unknown part {other}"),
     };
@@ -314,8 +330,14 @@
     if writer.write_all(start.as_bytes()).await.is_err() {
         return;
     }
-    while writer.write_all(repeated.as_bytes()).await.is_ok() {
+    while !repeated.is_empty() && writer.write_all(repeated.as_bytes()).await.is_ok() {
         endless_bytes.fetch_add(repeated.len(), Ordering::SeqCst);
         sleep(pause).await;
     }
 }
+
+/// Waits until the node closes a connection on which it sends nothing more.
+async fn wait_for_close(reader: &mut OwnedReadHalf) {
+    let mut byte = [0];
+    while reader.read(&mut byte).await.is_ok_and(|count| count > 0) {}
+}
