fix(relay): refuse unknown keys on public routes too

Cause: a request on a public route needs no key, and authentication took a key that it could not assign for none.

Why it works: credentials of the scheme of keys are a key, whether they can be read or not, and a request with a key needs one that an organisation holds. Credentials of another scheme count as none, as before. While an organisation of the version cannot be read, the request gets 503 as on other routes.

--- a/crates/lentilshunt-node/src/relay/authentication.rs
+++ b/crates/lentilshunt-node/src/relay/authentication.rs
@@ -21,13 +21,15 @@
 ///
 /// # Errors
 ///
-/// Returns why a request on a route that is not public is refused.
+/// Returns why a request is refused. One without a key is refused unless its route is public, one
+/// with a key that no organisation holds on any route.
 pub(super) fn authenticate(
     organisations: &Directory,
     route: &Route,
     names: &HeaderNames,
     headers: &mut HeaderMap,
 ) -> Result<Option<Arc<Organisation>>, Reason> {
+    let has_key = presents_key(headers, names.key_scheme);
     let key = read_key(headers, names.key_scheme);
     headers.remove(AUTHORIZATION);
     headers.remove(&names.organisation);
@@ -38,12 +40,23 @@
             headers.insert(&names.organisation, name);
             Ok(Some(organisation))
         }
-        Identity::Unknown | Identity::Undecidable if route.is_public => Ok(None),
+        Identity::Unknown if route.is_public && !has_key => Ok(None),
         Identity::Unknown => Err(Reason::Unauthenticated),
         Identity::Undecidable => Err(Reason::OrganisationOmitted),
     }
 }
 
+/// Returns whether a request has credentials of the scheme of keys, also if they are malformed.
+///
+/// Those of another scheme are not meant for the node.
+fn presents_key(headers: &HeaderMap, scheme: &str) -> bool {
+    headers.get_all(AUTHORIZATION).iter().any(|value| {
+        let mut words = value.as_bytes().split(u8::is_ascii_whitespace);
+        let presented = words.find(|word| !word.is_empty());
+        presented.is_some_and(|presented| presented.eq_ignore_ascii_case(scheme.as_bytes()))
+    })
+}
+
 /// Returns the key of a request; `None` if there is none, if it is malformed or if there are
 /// several.
 fn read_key(headers: &HeaderMap, scheme: &str) -> Option<Key> {
