--- a/crates/lentilshunt-node/src/fleet/installer.rs
+++ b/crates/lentilshunt-node/src/fleet/installer.rs
@@ -1,6 +1,6 @@
 //! Installs versions of the traffic rules.
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, atomic::Ordering};
 
 use bytes::Bytes;
 use lentilshunt_core::traffic::Rules;
@@ -94,6 +94,10 @@
         }
         self.record_omissions(&rules);
         history.push(bytes);
+        if rules.organisations().is_some() {
+            // Before the rules, which a later version without organisations may replace.
+            self.shared.has_organisations.store(true, Ordering::Relaxed);
+        }
         self.shared.rules.store(Arc::new(rules));
         drop(history);
         self.shared.observe_version(version, None);
--- a/crates/lentilshunt-node/src/fleet/lifecycle.rs
+++ b/crates/lentilshunt-node/src/fleet/lifecycle.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -459,6 +459,7 @@
         header_names: settings.header_names.clone(),
         retry_allowance: ArcSwap::from_pointee(settings.retry_allowance),
         rules: ArcSwap::from_pointee(Rules::default()),
+        has_organisations: AtomicBool::new(settings.has_organisations),
         directory: ArcSwap::from_pointee(Directory::default()),
         rollouts: Rollouts::new(settings.rollouts.allowed_share > 0),
         newest_version: watch::Sender::default(),
--- a/crates/lentilshunt-node/src/fleet/node_settings.rs
+++ b/crates/lentilshunt-node/src/fleet/node_settings.rs
@@ -50,6 +50,8 @@
     pub rules_row: (String, String),
     /// Where orders of roll-outs and their outcomes are stored.
     pub rollouts: rollout::Settings,
+    /// Whether callers may send keys of organisations, also while no version lists any.
+    pub has_organisations: bool,
     /// Table with the registrations of the nodes.
     pub nodes_table: String,
 }
--- a/crates/lentilshunt-node/src/relay/authentication.rs
+++ b/crates/lentilshunt-node/src/relay/authentication.rs
@@ -31,8 +31,7 @@
 ) -> Result<Option<Arc<Organisation>>, Reason> {
     let has_key = presents_key(headers, names.key_scheme);
     let key = read_key(headers, names.key_scheme);
-    headers.remove(AUTHORIZATION);
-    headers.remove(&names.organisation);
+    remove_credentials(names, headers);
     match organisations.identify(key.as_ref()) {
         Identity::Known(organisation) => {
             let name = HeaderValue::try_from(&*organisation.name);
@@ -46,6 +45,14 @@
     }
 }
 
+/// Removes the key and the name of an organisation that a caller has set.
+///
+/// The upstream gets neither, also from a version that lists no organisations any more.
+pub(super) fn remove_credentials(names: &HeaderNames, headers: &mut HeaderMap) {
+    headers.remove(AUTHORIZATION);
+    headers.remove(&names.organisation);
+}
+
 /// Returns whether a request has credentials of the scheme of keys, also if they are malformed.
 ///
 /// Those of another scheme are not meant for the node.
--- a/crates/lentilshunt-node/src/relay/outbound.rs
+++ b/crates/lentilshunt-node/src/relay/outbound.rs
@@ -1,7 +1,7 @@
 //! Handles the requests of callers.
 
 use std::{
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
@@ -267,7 +267,12 @@
                 let names = &self.shared.header_names;
                 authentication::authenticate(organisations, route, names, &mut headers)?
             }
-            None => None,
+            None => {
+                if self.shared.has_organisations.load(Ordering::Relaxed) {
+                    authentication::remove_credentials(&self.shared.header_names, &mut headers);
+                }
+                None
+            }
         };
         let length = parts.headers.get(CONTENT_LENGTH);
         let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
--- a/crates/lentilshunt-node/src/relay/shared.rs
+++ b/crates/lentilshunt-node/src/relay/shared.rs
@@ -1,6 +1,11 @@
 //! State shared by the components of a relaying node.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Instant};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicBool},
+    time::Instant,
+};
 
 use arc_swap::ArcSwap;
 use lentilshunt_core::{
@@ -52,6 +57,10 @@
     pub retry_allowance: ArcSwap<FleetBudget>,
     /// Active traffic rules.
     pub rules: ArcSwap<Rules>,
+    /// Whether callers may send keys of organisations, although the active rules list none.
+    ///
+    /// Set by the settings, or by the first version that lists organisations.
+    pub has_organisations: AtomicBool,
     /// Known endpoints.
     pub directory: ArcSwap<Directory>,
     /// Roll-outs of new versions of services.
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -9,7 +9,10 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -19,6 +22,7 @@
 use lentilshunt_core::{
     dissemination::Revision,
     membership::{LocalRecord, Phase, Record},
+    organisation::Directory,
     retry::FleetBudget,
     rollout::Outcome,
     routing::Locality,
@@ -32,7 +36,7 @@
         Registration, Restoration, Row, RowAt, Subscription, TableSnapshot, TableStore,
         TableUpdate, watch_table,
     },
-    relay::{Directory, HeaderNames, Lifetime, Shared, upstream::Report},
+    relay::{self, HeaderNames, Lifetime, Shared, upstream::Report},
 };
 use slog::{Discard, Logger, o};
 use tokio::sync::watch;
@@ -225,7 +229,8 @@
             slack: 10,
         }),
         rules: ArcSwap::from_pointee(Rules::default()),
-        directory: ArcSwap::from_pointee(Directory::default()),
+        has_organisations: AtomicBool::default(),
+        directory: ArcSwap::from_pointee(relay::Directory::default()),
         rollouts: Rollouts::default(),
         newest_version: watch::Sender::default(),
         stop: CancellationToken::new(),
@@ -270,6 +275,44 @@
     assert_eq!(installer.content(), Some(Bytes::from_static(b"9")));
 }
 
+/// Decodes as [`VersionCodec`] does; odd versions list organisations.
+#[derive(Debug)]
+struct OddCodec;
+
+impl Codec for OddCodec {
+    fn decode_rules(&self, bytes: &[u8], split_offset: u64) -> Result<Rules, DecodeError> {
+        let rules = VersionCodec.decode_rules(bytes, split_offset)?;
+        Ok(if rules.version() % 2 == 1 {
+            rules.with_organisations(Directory::new([7; 32]))
+        } else {
+            rules
+        })
+    }
+
+    fn decode_report(&self, path_and_query: &str, body: &[u8]) -> Result<Report, DecodeError> {
+        VersionCodec.decode_report(path_and_query, body)
+    }
+
+    fn acknowledgement(&self) -> Bytes {
+        VersionCodec.acknowledgement()
+    }
+}
+
+// Callers still send the keys of organisations that a version no longer lists.
+#[test]
+fn install_version_after_organisations() {
+    let shared = shared();
+    let installer = Installer::new(Arc::clone(&shared), Arc::new(OddCodec), "rules".to_owned());
+    let install = |version: &'static str| {
+        installer.install(Bytes::from_static(version.as_bytes()));
+        shared.has_organisations.load(Ordering::SeqCst)
+    };
+    assert!(!install("2"));
+    assert!(install("3"));
+    assert!(install("4"));
+    assert!(shared.rules.load().organisations().is_none());
+}
+
 /// Decodes as [`VersionCodec`] does, and waits for version 5 until another thread lets it go on.
 #[derive(Debug)]
 struct WaitingCodec {
--- a/crates/lentilshunt-node/tests/fleet/stop.rs
+++ b/crates/lentilshunt-node/tests/fleet/stop.rs
@@ -161,6 +161,7 @@
             header_names: header_names(),
             rules_row: (TABLE.to_owned(), "rules".to_owned()),
             rollouts: Settings::default(),
+            has_organisations: false,
             nodes_table: TABLE.to_owned(),
         };
         let store = Store::default();
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -391,6 +391,7 @@
             slack: 100,
         }),
         rules: ArcSwap::from_pointee(rules()),
+        has_organisations: AtomicBool::default(),
         directory: ArcSwap::from_pointee(Directory::default()),
         rollouts: Rollouts::default(),
         newest_version: watch::Sender::default(),
--- a/crates/lentilshunt-node/tests/relay/organisation.rs
+++ b/crates/lentilshunt-node/tests/relay/organisation.rs
@@ -1,6 +1,6 @@
 //! Tests of requests that carry keys of organisations.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use hyper::StatusCode;
 use lentilshunt_core::{
@@ -100,6 +100,57 @@
     assert_eq!(received.headers["organisation"], "own");
 }
 
+// The last key was accepted once its organisation had been removed, and so was any other.
+#[rstest]
+#[case("/a/", StatusCode::UNAUTHORIZED)]
+#[case("/once/", StatusCode::UNAUTHORIZED)]
+#[case("/public/", StatusCode::OK)]
+#[tokio::test]
+async fn call_after_last_organisation_is_removed(
+    #[case] path: &str,
+    #[case] without_key: StatusCode,
+) {
+    let nodes = nodes(1).await;
+    install(&nodes[0], organisations(&["secret"]));
+    install(&nodes[0], Directory::new([7; 32]));
+    for (headers, expected) in [
+        (
+            vec![("authorization", "Key secret")],
+            StatusCode::UNAUTHORIZED,
+        ),
+        (
+            vec![("authorization", "Key other")],
+            StatusCode::UNAUTHORIZED,
+        ),
+        (vec![], without_key),
+        (vec![("organisation", "yard")], without_key),
+    ] {
+        let response = call(&nodes[0], path, &headers, empty()).await;
+        assert_eq!(response.status, expected, "{headers:?}");
+    }
+    let received = nodes[0].upstream.received.lock().unwrap().len();
+    if without_key == StatusCode::OK {
+        assert_eq!(received, 2);
+        assert_eq!(received_organisation(&nodes[0]), None);
+    } else {
+        assert_eq!(received, 0);
+    }
+}
+
+// The upstream was shown the key, and the name of an organisation that the caller had chosen.
+#[tokio::test]
+async fn call_after_organisations_are_no_longer_listed() {
+    let nodes = nodes(1).await;
+    nodes[0]
+        .shared
+        .has_organisations
+        .store(true, Ordering::SeqCst);
+    let headers = [("authorization", "Key secret"), ("organisation", "yard")];
+    let response = call(&nodes[0], "/a/", &headers, empty()).await;
+    assert_eq!(response.status, StatusCode::OK);
+    assert_eq!(received_organisation(&nodes[0]), None);
+}
+
 #[tokio::test]
 async fn call_after_key_is_removed() {
     let nodes = nodes(1).await;
