--- a/crates/lentilshunt-net/src/meter/mod.rs
+++ b/crates/lentilshunt-net/src/meter/mod.rs
@@ -1,5 +1,7 @@
 //! Metrics, rendered as text.
 
+use std::sync::OnceLock;
+
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 
 /// Latency metric, which is recorded as a histogram.
@@ -10,13 +12,21 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.5, 5.0,
 ];
 
-/// Installs the metrics recorder of this process and returns the handle to render it.
+/// Installs the metrics recorder of this process, unless it has been, and returns the handle to
+/// render it.
+///
+/// Nodes that run in one process share it.
 ///
 /// # Panics
 ///
-/// Panics when a recorder is already installed.
+/// Panics when another recorder is already installed.
 #[must_use]
 pub fn install() -> PrometheusHandle {
+    static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+    HANDLE.get_or_init(install_first).clone()
+}
+
+fn install_first() -> PrometheusHandle {
     PrometheusBuilder::new()
         .set_buckets_for_metric(
             Matcher::Full(LATENCY_METRIC.to_owned()),
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod domain;
 mod node_state;
 mod odd_rows;
+mod process;
 mod rollout;
 mod stop;
 
@@ -233,6 +234,7 @@
         directory: ArcSwap::from_pointee(relay::Directory::default()),
         rollouts: Rollouts::default(),
         newest_version: watch::Sender::default(),
+
         stop: CancellationToken::new(),
         lifetime: Lifetime::default(),
         log: Logger::root(Discard, o!()),
