fix(fleet,relay): keep quarantined requests through restarts of nodes

Cause: suspicions are in memory and are reported only when an upstream is lost, to the nodes that listen then. A quarantine also ended two minutes after the last loss while the request kept coming, and the check of a lost upstream ended when its caller left.

Evidence: the restarted nodes log "upstream crashed while it ran a request" with losses 1. fleet::quarantine::run_again_after_quarantine runs a node on a store, crashes its upstream twice and starts the node again; without the rows it crashes a third time (3 for 2). relay::quarantine::call_to_restarted_nodes: without the answers to reports 5 crashes for 3. core: extend_quarantine_while_request_comes.

Why it works: a quarantined request has a row in the table of nodes, written by the nodes whose upstreams were lost. The answer to the report of a loss tells the losses that its receiver knows of. A request that comes again extends its quarantine, on all nodes at most once a minute. Rows are removed once the quarantine has ended, and written again if the store has lost them.

--- a/crates/lentilshunt-core/src/quarantine/suspects.rs
+++ b/crates/lentilshunt-core/src/quarantine/suspects.rs
@@ -11,8 +11,11 @@
 use super::{Fingerprint, Suspicion, recently_completed::RecentlyCompleted};
 use crate::{id::InstanceId, membership::Endpoint, routing::ServiceRoute};
 
-/// Time after the last recorded loss at which a request stops being a suspect or quarantined.
+/// Time after the last recorded loss, or after a quarantined request last came, at which a request
+/// stops being a suspect or quarantined.
 const SUSPICION_LIFETIME: Duration = Duration::from_mins(2);
+/// Remaining time of a quarantine below which a request that comes again extends it.
+const RENEWAL_TIME: Duration = Duration::from_mins(1);
 /// Time within which repeated losses of an upstream count as one.
 const SAME_LOSS_WINDOW: Duration = Duration::from_secs(2);
 /// Number of losses that quarantine a request.
@@ -108,6 +111,8 @@
     }
 
     /// Merges a suspicion of this or another node.
+    ///
+    /// One that is known already extends the time of the restriction.
     pub fn merge(&self, suspicion: &Suspicion, now: Instant) {
         if self.recently_completed.contains(suspicion.request, now) {
             return;
@@ -128,6 +133,47 @@
         });
     }
 
+    /// Extends the quarantine of a request that has come again, if little of its time remains.
+    ///
+    /// Returns the suspicions to report to other nodes, or none if the quarantine was not extended.
+    pub fn extend_quarantine(&self, request: Fingerprint, now: Instant) -> Vec<Suspicion> {
+        let is_due = {
+            let suspects = self.suspects.load();
+            suspects.get(&request).is_some_and(|suspect| {
+                let is_active = suspect.is_quarantined() && suspect.expires_at > now;
+                is_active && suspect.expires_at < now + RENEWAL_TIME
+            })
+        };
+        if !is_due {
+            return Vec::new();
+        }
+        let suspicions = self.suspicions(request, now);
+        for suspicion in &suspicions {
+            self.merge(suspicion, now);
+        }
+        suspicions
+    }
+
+    /// Returns the suspicions of a request.
+    #[must_use]
+    pub fn suspicions(&self, request: Fingerprint, now: Instant) -> Vec<Suspicion> {
+        let suspects = self.suspects.load();
+        let suspect = suspects.get(&request);
+        let active = suspect.filter(|suspect| suspect.expires_at > now);
+        active.map_or_else(Vec::new, |suspect| suspect.suspicions(request))
+    }
+
+    /// Returns the suspicions of each quarantined request.
+    #[must_use]
+    pub fn quarantined(&self, now: Instant) -> Vec<(Fingerprint, Vec<Suspicion>)> {
+        let suspects = self.suspects.load();
+        suspects
+            .iter()
+            .filter(|(_, suspect)| suspect.is_quarantined() && suspect.expires_at > now)
+            .map(|(request, suspect)| (*request, suspect.suspicions(*request)))
+            .collect()
+    }
+
     /// Clears a request that received a complete response.
     pub fn clear(&self, request: Fingerprint, now: Instant) {
         self.recently_completed.insert(request, now);
@@ -167,17 +213,31 @@
 
 impl Suspect {
     fn status(&self) -> QuarantineStatus {
-        if self.losses.len() >= LOSSES_TO_QUARANTINE {
+        if self.is_quarantined() {
             QuarantineStatus::Quarantined
         } else {
             QuarantineStatus::Suspect
         }
     }
 
+    fn is_quarantined(&self) -> bool {
+        self.losses.len() >= LOSSES_TO_QUARANTINE
+    }
+
+    fn suspicions(&self, request: Fingerprint) -> Vec<Suspicion> {
+        let suspicion = |loss: &Loss| Suspicion {
+            request,
+            instance: loss.instance.clone(),
+            repeat: loss.repeat,
+        };
+        self.losses.iter().map(suspicion).collect()
+    }
+
     fn merge(&mut self, suspicion: &Suspicion, now: Instant) {
         let is_recorded =
             |loss: &Loss| loss.instance == suspicion.instance && loss.repeat == suspicion.repeat;
-        if self.losses.iter().any(is_recorded) || self.losses.len() >= LOSSES_TO_QUARANTINE {
+        self.expires_at = now + SUSPICION_LIFETIME;
+        if self.losses.iter().any(is_recorded) || self.is_quarantined() {
             return;
         }
         self.losses.push(Loss {
@@ -185,7 +245,6 @@
             repeat: suspicion.repeat,
             duplicate_until: now + SAME_LOSS_WINDOW,
         });
-        self.expires_at = now + SUSPICION_LIFETIME;
     }
 }
 
--- a/crates/lentilshunt-core/tests/quarantine.rs
+++ b/crates/lentilshunt-core/tests/quarantine.rs
@@ -78,6 +78,45 @@
     );
 }
 
+// The quarantine of a request that kept coming ended, and it crashed two more upstreams.
+#[test]
+fn extend_quarantine_while_request_comes() {
+    let now = Instant::now();
+    let suspects = Suspects::new(now);
+    let first = suspects.record_loss(1, &"i1".to_owned(), now);
+    assert_eq!(suspects.extend_quarantine(1, now + 90 * SECOND), []);
+    let second = suspects.record_loss(1, &"i2".to_owned(), now);
+    let both: Vec<_> = first.into_iter().chain(second).collect();
+    assert_eq!(suspects.suspicions(1, now), both);
+    assert_eq!(suspects.quarantined(now), [(1, both.clone())]);
+    assert_eq!(suspects.extend_quarantine(1, now + 30 * SECOND), []);
+    assert_eq!(suspects.extend_quarantine(1, now + 90 * SECOND), both);
+    // Other nodes learn of it once for each extension.
+    assert_eq!(suspects.extend_quarantine(1, now + 91 * SECOND), []);
+    assert_eq!(
+        suspects.status(1, now + 200 * SECOND),
+        QuarantineStatus::Quarantined
+    );
+    assert_eq!(suspects.extend_quarantine(1, now + 211 * SECOND), []);
+    assert_eq!(suspects.quarantined(now + 211 * SECOND), []);
+}
+
+#[test]
+fn merge_known_suspicion() {
+    let now = Instant::now();
+    let suspects = Suspects::new(now);
+    let suspicion = Suspicion {
+        request: 1,
+        instance: "i1".to_owned(),
+        repeat: 0,
+    };
+    suspects.merge(&suspicion, now);
+    suspects.merge(&suspicion, now + 100 * SECOND);
+    let status = |seconds| suspects.status(1, now + seconds * SECOND);
+    assert_eq!(status(200), QuarantineStatus::Suspect);
+    assert_eq!(status(221), QuarantineStatus::Clear);
+}
+
 #[test]
 fn status_same_instance_later() {
     let now = Instant::now();
--- a/crates/lentilshunt-node/src/fleet/lifecycle.rs
+++ b/crates/lentilshunt-node/src/fleet/lifecycle.rs
@@ -19,7 +19,7 @@
 use lentilshunt_net::{http::Shutdown, meter};
 use slog::{Logger, info, warn};
 use tokio::{
-    sync::watch,
+    sync::{Notify, watch},
     task::JoinHandle,
     time::{sleep_until, timeout_at},
 };
@@ -30,6 +30,7 @@
     Publisher, Readiness, Reports, Restoration, StateFetcher, TableStore,
     adoption::adopt_upstream,
     metrics::Metrics,
+    quarantine::Archive,
     watch::{Subscription, watch_table},
 };
 use crate::{
@@ -131,8 +132,9 @@
         feeds,
         deciders: deciders.clone(),
     };
+    let suspects = Arc::new(Suspects::new(Instant::now()));
     let (handlers, executor, records) =
-        build_handlers(&settings, &shared, &codec, peer_services, &pool);
+        build_handlers(&settings, &shared, &codec, peer_services, &pool, &suspects);
     let request_shutdown = Shutdown {
         draining: stop.clone(),
         closed: CancellationToken::new(),
@@ -169,6 +171,7 @@
         &codec,
         installer,
         records,
+        suspects,
     ));
     info!(log, "node started"; "service" => &settings.service,
         "domain" => &settings.locality.domain);
@@ -309,27 +312,27 @@
     codec: &Arc<dyn Codec>,
     peer_services: PeerServices,
     pool: &Arc<Pool>,
+    suspects: &Arc<Suspects>,
 ) -> (Handlers, Arc<Executor>, watch::Receiver<Option<Record>>) {
     let deciders = peer_services.deciders;
-    let suspects = Arc::new(Suspects::new(Instant::now()));
     let executor = Arc::new(Executor::new(
         shared,
         settings.upstream,
         settings.report_interval,
-        Arc::clone(&suspects),
+        Arc::clone(suspects),
         Arc::clone(pool),
     ));
     let dispatcher = Dispatcher::new(
         Arc::clone(shared),
         Arc::clone(&executor),
-        Arc::clone(&suspects),
+        Arc::clone(suspects),
         Arc::clone(pool),
     );
     let outbound = Outbound::new(Arc::clone(shared), Arc::new(dispatcher), deciders.meter);
     let inbound = Inbound::new(
         Arc::clone(shared),
         Arc::clone(&executor),
-        suspects,
+        Arc::clone(suspects),
         settings.listen.peers.port(),
         deciders.accountant,
         deciders.coordinator,
@@ -368,6 +371,7 @@
     codec: &Arc<dyn Codec>,
     installer: Arc<Installer>,
     records: watch::Receiver<Option<Record>>,
+    suspects: Arc<Suspects>,
 ) -> [JoinHandle<()>; 3] {
     let nodes = &settings.nodes_table;
     let log = shared.log.clone();
@@ -375,10 +379,17 @@
     let rules_table = settings.rules_row.0.clone();
     let registry = NodeRegistry::new(Arc::clone(shared));
     let listing = registry.listing();
+    let archive = Archive::new(
+        Arc::clone(shared),
+        suspects,
+        Arc::clone(&store),
+        nodes.clone(),
+    );
     [
         tokio::spawn(publisher.run(records, registry.restorations())),
         tokio::spawn(watch_records(
             registry,
+            archive,
             Arc::clone(&store),
             nodes.clone(),
             shared.log.clone(),
@@ -463,6 +474,7 @@
         directory: ArcSwap::from_pointee(Directory::default()),
         rollouts: Rollouts::new(settings.rollouts.allowed_share > 0),
         newest_version: watch::Sender::default(),
+        suspicions_changed: Notify::new(),
         stop,
         lifetime: Lifetime::default(),
         log,
@@ -525,6 +537,7 @@
 
 async fn watch_records(
     registry: NodeRegistry,
+    archive: Archive,
     store: Arc<dyn TableStore>,
     table: String,
     log: Logger,
@@ -536,10 +549,13 @@
     let restorations = registry.restorations();
     let registry = Mutex::new(registry);
     let watching = watch_table(&*store, subscription, None, &log, |update| {
-        lock(&registry).apply_update(update, Instant::now());
+        let now = Instant::now();
+        let update = archive.apply_update(update, now);
+        lock(&registry).apply_update(update, now);
     });
     tokio::select! {
         () = watching => {}
+        () = archive.run() => {}
         () = remove_missing(&registry, restorations) => {}
     }
 }
--- a/crates/lentilshunt-node/src/fleet/mod.rs
+++ b/crates/lentilshunt-node/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 mod node_state;
 mod orders;
 mod publisher;
+pub mod quarantine;
 mod readiness;
 mod registration;
 mod report;
--- a/crates/lentilshunt-node/src/fleet/watch.rs
+++ b/crates/lentilshunt-node/src/fleet/watch.rs
@@ -48,6 +48,12 @@
         changes
     }
 
+    /// Returns the changes in the update.
+    pub(super) fn changes_mut(&mut self) -> &mut Vec<Change> {
+        let (Self::Full(changes) | Self::Incremental(changes) | Self::Restored(changes)) = self;
+        changes
+    }
+
     /// Returns the changes in the update.
     #[must_use]
     pub fn into_changes(self) -> Vec<Change> {
--- a/crates/lentilshunt-node/src/relay/dispatcher.rs
+++ b/crates/lentilshunt-node/src/relay/dispatcher.rs
@@ -274,6 +274,7 @@
     ) -> Result<(Arc<Endpoint>, Patience), Reason> {
         let now = Instant::now();
         if self.suspects.status(call.fingerprint, now) == QuarantineStatus::Quarantined {
+            self.executor.extend_quarantine(call);
             return Err(Reason::Quarantined);
         }
         let directory = self.shared.directory.load();
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -16,7 +16,7 @@
     header::{HOST, HeaderValue},
 };
 use lentilshunt_core::{
-    id::{InstanceId, ServiceId},
+    id::ServiceId,
     overload::{Notice, ParseError, Rate},
     quarantine::{QuarantineStatus, Suspects},
     verdict::{Reason, Verdict},
@@ -66,11 +66,10 @@
     gate: Arc<Gate>,
     pool: Pool,
     suspects: Arc<Suspects>,
-    instance: InstanceId,
     /// Service of the upstream.
     service: ServiceId,
     shared: Arc<Shared>,
-    notifier: Notifier,
+    notifier: Arc<Notifier>,
     /// Requests sent to the upstream since its rate limit changed.
     sent_under_limit: AtomicU64,
     /// Whether calls are refused because reports of the upstream are missing.
@@ -103,11 +102,15 @@
             gate: Arc::new(Gate::new(QUEUE_CAPACITY)),
             pool: Pool::new(CONNECT_TIMEOUT, IDLE_TIMEOUT)
                 .with_echoed_header(shared.header_names.request_id.clone()),
-            suspects,
-            instance: shared.locality.instance.clone(),
             service: shared.service.clone(),
             shared: Arc::clone(shared),
-            notifier: Notifier::new(Arc::clone(shared), peer_pool),
+            notifier: Arc::new(Notifier::new(
+                Arc::clone(shared),
+                Arc::clone(&suspects),
+                upstream_address,
+                peer_pool,
+            )),
+            suspects,
             sent_under_limit: AtomicU64::new(0),
             is_silent: AtomicBool::new(false),
             log_limiter: LogLimiter::new(),
@@ -413,16 +416,24 @@
     }
 
     /// Returns the reply to a call whose connection broke, and reports a crash to other nodes.
+    ///
+    /// The check goes on if the caller leaves meanwhile.
     async fn handle_lost_connection(&self, call: &Call) -> Reply {
-        if !self.notifier.has_crashed(self.upstream_address).await {
-            return Reply::unknown(Reason::ConnectionLost);
-        }
-        let instance = &self.instance;
-        let now = Instant::now();
-        if let Some(suspicion) = self.suspects.record_loss(call.fingerprint, instance, now) {
-            self.notifier.notify(call, &suspicion);
-        }
-        Reply::unknown(Reason::UpstreamLost)
+        let check = Arc::clone(&self.notifier).record_loss(call.into());
+        let reason = match tokio::spawn(check).await {
+            Ok(true) => Reason::UpstreamLost,
+            Ok(false) => Reason::ConnectionLost,
+            Err(error) => {
+                warn!(self.log, "check of a lost upstream failed"; "error" => %error);
+                Reason::ConnectionLost
+            }
+        };
+        Reply::unknown(reason)
+    }
+
+    /// Extends the quarantine of a request that has come again.
+    pub fn extend_quarantine(&self, call: &Call) {
+        self.notifier.extend_quarantine(call.fingerprint);
     }
 
     /// Waits until a call may no longer run on the upstream, and returns why.
--- a/crates/lentilshunt-node/src/relay/inbound.rs
+++ b/crates/lentilshunt-node/src/relay/inbound.rs
@@ -1,6 +1,6 @@
 //! Handles the requests of other nodes.
 
-use std::{net::SocketAddr, sync::Arc, time::Instant};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Instant};
 
 use hyper::{
     Request, Response, StatusCode,
@@ -8,7 +8,7 @@
 };
 use lentilshunt_core::{
     overload::Notice,
-    quarantine::{Suspects, decode},
+    quarantine::{Suspects, decode, encode},
     verdict::Reason,
 };
 use lentilshunt_net::BoxFuture;
@@ -31,7 +31,7 @@
 /// Path of the requests that report suspicions.
 pub(super) const SUSPICIONS_PATH: &str = "/.lentilshunt/suspicions";
 /// Maximum size of a report of suspicions, in bytes.
-const MAX_SUSPICIONS_BYTES: usize = 64 * 1024;
+pub(super) const MAX_SUSPICIONS_BYTES: usize = 64 * 1024;
 
 /// Handler of the listener for other nodes.
 #[derive(Debug)]
@@ -149,14 +149,7 @@
             return Response::new(empty());
         }
         if request.uri().path() == SUSPICIONS_PATH {
-            let body = read_prefix(from_incoming(request.into_body()), MAX_SUSPICIONS_BYTES).await;
-            if let Ok(Payload::Buffered(bytes)) = body {
-                let now = Instant::now();
-                for suspicion in decode(&bytes) {
-                    self.suspects.merge(&suspicion, now);
-                }
-            }
-            return Response::new(empty());
+            return self.merge_suspicions(request).await;
         }
         if request.uri().path() == Accountant::PATH {
             return self.settle_usage(request).await;
@@ -169,6 +162,25 @@
 }
 
 impl Inbound {
+    /// Merges suspicions of another node, and returns all that is known of the same requests.
+    async fn merge_suspicions(&self, request: Request<Incoming>) -> Response<Body> {
+        let body = read_prefix(from_incoming(request.into_body()), MAX_SUSPICIONS_BYTES).await;
+        let Ok(Payload::Buffered(bytes)) = body else {
+            return status_response(StatusCode::BAD_REQUEST);
+        };
+        let now = Instant::now();
+        let reported = decode(&bytes);
+        for suspicion in &reported {
+            self.suspects.merge(suspicion, now);
+        }
+        self.shared.suspicions_changed.notify_one();
+        let requests: BTreeSet<_> = reported.iter().map(|suspicion| suspicion.request).collect();
+        let known = requests
+            .into_iter()
+            .flat_map(|request| self.suspects.suspicions(request, now));
+        Response::new(full(encode(&known.collect::<Vec<_>>())))
+    }
+
     /// Settles the report of a node on the quotas that it has used.
     async fn settle_usage(&self, request: Request<Incoming>) -> Response<Body> {
         let body = read_prefix(from_incoming(request.into_body()), Accountant::MAX_BYTES).await;
--- a/crates/lentilshunt-node/src/relay/outbound.rs
+++ b/crates/lentilshunt-node/src/relay/outbound.rs
@@ -262,18 +262,13 @@
         let route = find_route(&rules, host, path)?;
         let has_key = rules.organisations().is_some() && parts.headers.contains_key(AUTHORIZATION);
         let mut headers = end_to_end(&parts.headers);
-        let organisation = match rules.organisations() {
-            Some(organisations) => {
-                let names = &self.shared.header_names;
-                authentication::authenticate(organisations, route, names, &mut headers)?
-            }
-            None => {
-                if self.shared.has_organisations.load(Ordering::Relaxed) {
-                    authentication::remove_credentials(&self.shared.header_names, &mut headers);
-                }
-                None
-            }
-        };
+        let names = &self.shared.header_names;
+        let mut organisation = None;
+        if let Some(organisations) = rules.organisations() {
+            organisation = authentication::authenticate(organisations, route, names, &mut headers)?;
+        } else if self.shared.has_organisations.load(Ordering::Relaxed) {
+            authentication::remove_credentials(names, &mut headers);
+        }
         let length = parts.headers.get(CONTENT_LENGTH);
         let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
         if length.unwrap_or(body.size_hint().lower()) > rules.limits().max_body_bytes {
--- a/crates/lentilshunt-node/src/relay/shared.rs
+++ b/crates/lentilshunt-node/src/relay/shared.rs
@@ -16,7 +16,10 @@
     traffic::Rules,
 };
 use slog::Logger;
-use tokio::{sync::watch, time::timeout_at};
+use tokio::{
+    sync::{Notify, watch},
+    time::timeout_at,
+};
 use tokio_util::sync::CancellationToken;
 
 use super::{HeaderNames, Lifetime};
@@ -67,6 +70,8 @@
     pub rollouts: Rollouts,
     /// Highest version that is active on this or another node.
     pub newest_version: watch::Sender<NewestVersion>,
+    /// Notified when the suspicions of a request may have changed.
+    pub suspicions_changed: Notify,
     /// Cancelled when the node starts to shut down.
     pub stop: CancellationToken,
     /// Time that is left for requests.
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod node_state;
 mod odd_rows;
 mod process;
+mod quarantine;
 mod rollout;
 mod stop;
 
@@ -40,7 +41,7 @@
     relay::{self, HeaderNames, Lifetime, Shared, upstream::Report},
 };
 use slog::{Discard, Logger, o};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 const TABLE: &str = "nodes";
@@ -234,7 +235,7 @@
         directory: ArcSwap::from_pointee(relay::Directory::default()),
         rollouts: Rollouts::default(),
         newest_version: watch::Sender::default(),
-
+        suspicions_changed: Notify::new(),
         stop: CancellationToken::new(),
         lifetime: Lifetime::default(),
         log: Logger::root(Discard, o!()),
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -39,7 +39,11 @@
     rollout::{Coordinator, Rollouts, Settings},
 };
 use slog::{Discard, Logger, o};
-use tokio::{io::AsyncReadExt, net::TcpListener, sync::watch};
+use tokio::{
+    io::AsyncReadExt,
+    net::TcpListener,
+    sync::{Notify, watch},
+};
 use tokio_util::sync::CancellationToken;
 
 const SERVICE: &str = "bales";
@@ -333,6 +337,22 @@
     nodes
 }
 
+/// Starts nodes as [`nodes`] does, with the given upstreams.
+pub async fn nodes_with_upstreams(addresses: &[SocketAddr]) -> Vec<Node> {
+    let mut nodes = Vec::new();
+    for (index, address) in addresses.iter().enumerate() {
+        nodes.push(node(index, Some(*address)).await);
+    }
+    connect(&nodes);
+    nodes
+}
+
+/// Replaces a node by one that knows nothing, as if its process had started again.
+pub async fn restart(nodes: &mut [Node], index: usize, upstream: SocketAddr) {
+    nodes[index] = node(index, Some(upstream)).await;
+    connect(nodes);
+}
+
 fn connect(nodes: &[Node]) {
     let endpoints: Vec<_> = nodes.iter().map(endpoint).collect();
     for node in nodes {
@@ -395,6 +415,7 @@
         directory: ArcSwap::from_pointee(Directory::default()),
         rollouts: Rollouts::default(),
         newest_version: watch::Sender::default(),
+        suspicions_changed: Notify::new(),
         stop: stop.clone(),
         lifetime: Lifetime::default(),
         log: Logger::root(Discard, o!()),
--- a/crates/lentilshunt-node/tests/relay/main.rs
+++ b/crates/lentilshunt-node/tests/relay/main.rs
@@ -13,6 +13,7 @@
 mod numbers;
 mod organisation;
 mod pipelined;
+mod quarantine;
 mod rate_limit;
 mod raw_upstream;
 mod repeated_refusal;
