fix(relay): suspect requests that crash upstreams while they respond

Callers saw: a request whose upstream crashed within the body of its response was never quarantined, and crashed one upstream after the other.

Cause: the head of a response cleared its request and marked it as completed for a minute, in which it cannot become a suspect. A body that broke off was not looked at.

Why it works: the guard of a response body learns how it ends. A complete body clears the request; one that breaks off has the upstream checked as after a lost connection. A body that is dropped, since its caller has left, does neither.

Check: relay::quarantine, 6 cases.

--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -28,9 +28,11 @@
 use super::{
     Call, HeaderNames, LogLimiter, Notifier, Reply, Shared,
     body::{Body, empty},
-    gate::Gate,
-    guarded, header,
+    gate::{Gate, Running},
+    guarded::{self, Guard},
+    header,
     node_headers::header_text,
+    notifier::LostRequest,
     pool::{Failure, Pool},
     upstream::{self, Change, Report, Upstream},
 };
@@ -78,6 +80,26 @@
     log: Logger,
 }
 
+/// A request whose response has begun.
+struct Run {
+    _slot: Running,
+    suspects: Arc<Suspects>,
+    notifier: Arc<Notifier>,
+    request: LostRequest,
+}
+
+impl Guard for Run {
+    /// Clears a request that did not crash the upstream; one may also do so while it responds.
+    fn end(self, is_complete: bool) {
+        if is_complete {
+            self.suspects
+                .clear(self.request.fingerprint, Instant::now());
+        } else {
+            tokio::spawn(self.notifier.record_loss(self.request));
+        }
+    }
+}
+
 impl Executor {
     /// Creates an executor that has no report of its upstream yet.
     ///
@@ -402,15 +424,20 @@
         };
         let reply = self.classify(&upstream, response);
         if reply.verdict == Verdict::Ran {
-            self.suspects.clear(call.fingerprint, Instant::now());
             slot.record_response(call.kind);
             let status = reply.response.as_ref().map(Response::status);
             record_run(status.is_some_and(|status| status.is_server_error()));
         }
+        let run = Run {
+            _slot: slot,
+            suspects: Arc::clone(&self.suspects),
+            notifier: Arc::clone(&self.notifier),
+            request: call.into(),
+        };
         Reply {
             response: reply
                 .response
-                .map(|response| response.map(|body| guarded::with_guard(body, slot))),
+                .map(|response| response.map(|body| guarded::with_guard(body, run))),
             ..reply
         }
     }
--- a/crates/lentilshunt-node/tests/relay/quarantine.rs
+++ b/crates/lentilshunt-node/tests/relay/quarantine.rs
@@ -99,9 +99,12 @@
     response.status
 }
 
+// A request that crashed upstreams while they responded was taken for one that had run.
 #[rstest]
 #[tokio::test]
-async fn call_that_crashes_upstreams(#[values("/once/crash", "/crash")] path: &str) {
+async fn call_that_crashes_upstreams(
+    #[values("/once/crash", "/once/crash/body", "/crash", "/crash/body")] path: &str,
+) {
     let upstreams = Upstreams::start(3).await;
     let nodes = nodes_with_upstreams(&upstreams.addresses).await;
     for node in nodes.iter().chain(&nodes) {
