fix(relay): ignore the deregistration of an earlier start of an upstream

Callers would see: an upstream that has started again under its id is taken out of use when the deregistration of its earlier start arrives late, and stays out, as a process never returns from the phase gone.

Cause: a deregistration was completed from the current state whenever the id was the same, also if it names another start.

Evidence: relay::reports::deregister_start with an earlier start failed before (a record with phase gone was published); the current, a later and an unknown start end the upstream before and after.

Why it works: a deregistration that names an earlier start is ignored, however long the current one has been silent. One without a start counts for the current one.

--- a/crates/lentilshunt-node/src/fleet/report.rs
+++ b/crates/lentilshunt-node/src/fleet/report.rs
@@ -183,7 +183,7 @@
             return report.clone();
         }
         match self.executor.upstream(now) {
-            Some(upstream) if upstream.report.process == report.process => Report {
+            Some(upstream) if upstream.is_same_start(report) => Report {
                 phase: Phase::Gone,
                 ..upstream.report.clone()
             },
--- a/crates/lentilshunt-node/src/relay/upstream.rs
+++ b/crates/lentilshunt-node/src/relay/upstream.rs
@@ -69,6 +69,17 @@
         upstream
     }
 
+    /// Returns whether a deregistration is that of this process, and not of an earlier start of it.
+    ///
+    /// One without a start counts as that of the current process.
+    #[must_use]
+    pub fn is_same_start(&self, deregistration: &Report) -> bool {
+        let own = &self.report;
+        let starts = [own.started_ms, deregistration.started_ms];
+        let is_known = !starts.contains(&0);
+        own.process == deregistration.process && (starts[0] == starts[1] || !is_known)
+    }
+
     /// Returns whether the report of a process comes from this one.
     ///
     /// The start of a process that was found by its health check is unknown.
@@ -143,9 +154,15 @@
         };
         return accept(report, change);
     }
+    let is_earlier = report.started_ms < old.started_ms;
+    let is_deregistration = is_same_process && report.phase == Phase::Gone;
+    if is_deregistration && is_earlier && !current.is_same_start(&report) {
+        // It says nothing of the current start, also if that has been silent.
+        return (Change::Ignored, None);
+    }
     let is_silent = now.saturating_duration_since(current.received_at)
         > interval * MISSING_REPORTS_BEFORE_REPLACEMENT;
-    if report.started_ms < old.started_ms && !is_silent {
+    if is_earlier && !is_silent {
         return (Change::Ignored, None);
     }
     accept(report, Change::Changed)
--- a/crates/lentilshunt-node/tests/relay/reports.rs
+++ b/crates/lentilshunt-node/tests/relay/reports.rs
@@ -87,6 +87,34 @@
     assert_eq!(published, (Phase::Ready, slots, slots / 3 * 3));
 }
 
+// A deregistration that arrived late marked the next start of its upstream as gone.
+#[rstest]
+#[case::earlier_start(3, Phase::Ready)]
+#[case::current_start(5, Phase::Gone)]
+#[case::later_start(7, Phase::Gone)]
+#[case::unknown_start(0, Phase::Gone)]
+#[tokio::test]
+async fn deregister_start(#[case] started_ms: u64, #[case] expected: Phase) {
+    let nodes = nodes(1).await;
+    let node = &nodes[0];
+    let current = Report {
+        started_ms: 5,
+        ..report("p9", 1, Phase::Ready)
+    };
+    assert!(send(node, current).await.is_some());
+    let gone = Report {
+        started_ms,
+        service: String::new(),
+        slots: 0,
+        ..report("p9", 0, Phase::Gone)
+    };
+    let published = send(node, gone).await;
+    assert_eq!(published.is_some(), expected == Phase::Gone);
+    let upstream = node.executor.upstream(std::time::Instant::now());
+    let phase = upstream.map(|upstream| upstream.report.phase);
+    assert_eq!(phase, Some(expected));
+}
+
 // The upstream stayed in use after it had left.
 #[tokio::test]
 async fn deregister_after_highest_sequence() {
