fix(net): sum up recorded metrics although nobody fetches them

Cause: the recorder of the metrics is installed without its upkeep, so that the latency histogram keeps each value until the metrics are rendered.

Evidence: meter::maintain_metrics_that_nobody_fetches; without the upkeep the process grew by 96,520 KiB in six million values.

Why it works: both programs of a node run the upkeep every 5 s, which empties the buffers of all histograms into their buckets, as rendering does.

--- a/crates/lentilshunt-node/src/fleet/lifecycle.rs
+++ b/crates/lentilshunt-node/src/fleet/lifecycle.rs
@@ -160,6 +160,7 @@
     let peers = serve(listen.peers, inbound, &request_shutdown).await?;
     let readiness = Arc::new(Readiness::new(Arc::clone(&shared)));
     let mut tasks = vec![
+        tokio::spawn(meter::maintain(metrics.clone())),
         tokio::spawn(Arc::clone(&reports).publish_departures()),
         serve(listen.reports, reports, &no_shutdown).await?.task,
         serve(listen.readiness, readiness, &no_shutdown).await?.task,
--- a/crates/lentilshunt-node/src/lifecycle/mod.rs
+++ b/crates/lentilshunt-node/src/lifecycle/mod.rs
@@ -51,6 +51,7 @@
 /// history file cannot be opened.
 pub async fn run(settings: settings::Node, log: Logger, stop: CancellationToken) -> io::Result<()> {
     let metrics = meter::install();
+    let maintenance = tokio::spawn(meter::maintain(metrics.clone()));
     let context = Arc::new(build_context(settings, log, stop)?);
     let mut started = new_event(Kind::Started);
     started.detail = Some(context.settings.listen.callers.clone());
@@ -108,6 +109,7 @@
         );
     }
     control_task.abort();
+    maintenance.abort();
     admin.abort();
     context.history.write(new_event(Kind::Stopped));
     Ok(())
