fix(relay): refuse late requests that the end of a stopping node may break off

Reported by another operator: requests that came late in the grace period of a planned stop were passed on and cut without a response at its end (LOST).

Here: possible in part. A connection that is opened in time may complete the head of its request in the second half of the grace period. The request was passed on, and got 504 half a second before the end while its upstream was at work. No form was found in which it gets no response at all.

Cause: closing the listeners limits new connections and idle ones, not a request that has begun to arrive. Only its deadline was limited, by the end of the process.

Evidence: stop::run_stopped_with_late_request got 504 with the request at the upstream before, and gets 503 within 0.3 s without it now. A late request whose deadline is before the end runs, before and after.

Why it works: from half of the grace period on, or 3 s after the signal, a request whose deadline is after the end of the process is refused at once. It has not run, so the refusal is true, and its caller has the rest of its time.

Check: fleet 112 tests; relay passes but for the known call_abandoned_before_accept.

--- a/crates/lentilshunt-node/src/fleet/lifecycle.rs
+++ b/crates/lentilshunt-node/src/fleet/lifecycle.rs
@@ -38,8 +38,8 @@
     executor::lock,
     quota::{Accountant, Meter, Reporter},
     relay::{
-        Directory, Dispatcher, Executor, Handler, HeaderLimits, Inbound, Lifetime, Outbound, Pool,
-        Server, Shared,
+        Directory, Dispatcher, End, Executor, Handler, HeaderLimits, Inbound, Lifetime, Outbound,
+        Pool, Server, Shared,
     },
     rollout::{Coordinator, Driver, Rollouts},
 };
@@ -80,6 +80,10 @@
 ///
 /// The rest is left for their responses.
 const LAST_REQUEST_DIVISOR: u32 = 2;
+/// Maximum time for which a stopping node accepts requests that its end may break off.
+///
+/// Later ones are accepted if their deadline is before the end.
+const MAX_ACCEPT_TIME: Duration = Duration::from_secs(3);
 /// Timeout of one long poll for changed records, by a node that reads the store for others.
 ///
 /// Other nodes detect that it lost the store by the age of the rules that it sends.
@@ -210,12 +214,15 @@
     let respond_by = drain_deadline
         .checked_sub(RESPONSE_MARGIN)
         .unwrap_or(drain_deadline);
-    shared.lifetime.end_at(respond_by);
+    let last_request_at = stopped_at + grace_period / LAST_REQUEST_DIVISOR;
+    shared.lifetime.end_at(End {
+        accept_until: last_request_at.min(stopped_at + MAX_ACCEPT_TIME),
+        respond_by,
+    });
     info!(shared.log, "node stopping"; "in_flight" => callers.in_flight() + peers.in_flight());
     sleep_until(respond_by.min(stopped_at + PEER_SERVICE_TIME).into()).await;
     shared.lifetime.refuse_calls();
     sleep_until(respond_by.min(stopped_at + SHUTDOWN_NOTICE).into()).await;
-    let last_request_at = stopped_at + grace_period / LAST_REQUEST_DIVISOR;
     callers.wait_until_idle(last_request_at).await;
     request_shutdown.closed.cancel();
     let in_flight = (Arc::clone(&callers.in_flight), Arc::clone(&peers.in_flight));
--- a/crates/lentilshunt-node/src/relay/lifetime.rs
+++ b/crates/lentilshunt-node/src/relay/lifetime.rs
@@ -4,21 +4,32 @@
 
 use tokio_util::sync::CancellationToken;
 
+use super::End;
+
 /// The time that is left for requests, which is unlimited until the node is told to stop.
 ///
 /// The deadline of a request is known when it arrives, the end of the process only later. What
 /// waits for a request therefore also waits for the end.
 #[derive(Debug, Default)]
 pub struct Lifetime {
-    respond_by: OnceLock<Instant>,
+    end: OnceLock<End>,
     refusing: CancellationToken,
     over: CancellationToken,
 }
 
 impl Lifetime {
-    /// Sets the time by which each request must have its response; only the first call counts.
-    pub fn end_at(&self, respond_by: Instant) {
-        self.respond_by.get_or_init(|| respond_by);
+    /// Sets the last instants of the process; only the first call counts.
+    pub fn end_at(&self, end: End) {
+        self.end.get_or_init(|| end);
+    }
+
+    /// Returns whether a request has arrived so late that the process may end before its deadline.
+    ///
+    /// An upstream could be at work on it at the end.
+    #[must_use]
+    pub fn is_too_late(&self, arrived_at: Instant, deadline: Instant) -> bool {
+        let end = self.end.get();
+        end.is_some_and(|end| arrived_at > end.accept_until && deadline > end.respond_by)
     }
 
     /// Refuses calls of other nodes, and all that wait for the local upstream, from now on.
@@ -34,8 +45,8 @@
     /// Returns the deadline, or the end of the process if that is earlier.
     #[must_use]
     pub fn limit(&self, deadline: Instant) -> Instant {
-        let respond_by = self.respond_by.get();
-        respond_by.map_or(deadline, |respond_by| deadline.min(*respond_by))
+        let end = self.end.get();
+        end.map_or(deadline, |end| deadline.min(end.respond_by))
     }
 
     /// Returns whether calls of other nodes are refused.
--- a/crates/lentilshunt-node/src/relay/mod.rs
+++ b/crates/lentilshunt-node/src/relay/mod.rs
@@ -18,6 +18,7 @@
 mod cutoff;
 mod dispatcher;
 mod doubtful;
+mod end;
 mod executor;
 mod expiring;
 pub mod fetch;
@@ -42,6 +43,7 @@
 
 pub use call::Call;
 pub use dispatcher::{Dispatcher, Progress};
+pub use end::End;
 pub use executor::Executor;
 pub use header_names::HeaderNames;
 pub use inbound::Inbound;
--- a/crates/lentilshunt-node/src/relay/outbound.rs
+++ b/crates/lentilshunt-node/src/relay/outbound.rs
@@ -275,6 +275,13 @@
             return Err(Reason::TooLarge);
         }
         let deadline = arrived_at.instant() + timeout.min(route.timeout);
+        if self
+            .shared
+            .lifetime
+            .is_too_late(arrived_at.instant(), deadline)
+        {
+            return Err(Reason::Draining);
+        }
         let waited = self
             .wait_estimator
             .record_and_estimate(&route.name, timeout);
--- a/crates/lentilshunt-node/tests/fleet/stop.rs
+++ b/crates/lentilshunt-node/tests/fleet/stop.rs
@@ -10,13 +10,16 @@
 };
 
 use tokio::{
-    io::AsyncReadExt,
-    net::TcpListener,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
     time::{sleep, timeout},
 };
 
 use super::process::{GRACE_PERIOD, Process, own_addresses, status};
 
+/// Time after the signal at which a late request is complete, in the second half of the grace period.
+const LATE: Duration = Duration::from_millis(2400);
+
 /// A node with an upstream that counts its requests and never responds.
 struct Node {
     process: Process,
@@ -62,6 +65,44 @@
     }
 }
 
+/// Sends a part of a request after the signal, and the rest later; returns its status.
+async fn status_of_late(node: &Node, time_limit_ms: u32) -> (u16, Duration) {
+    let listen = &node.process.listen;
+    let mut stream = TcpStream::connect(listen.callers).await.expect("node");
+    let head = "GET /x HTTP/1.1\r\nhost: yard.example\r\nattempt: late\r\n";
+    stream.write_all(head.as_bytes()).await.expect("node");
+    sleep(LATE).await;
+    let sent_at = Instant::now();
+    let rest = format!("deadline: {time_limit_ms}\r\n\r\n");
+    stream.write_all(rest.as_bytes()).await.expect("node");
+    (status(stream).await, sent_at.elapsed())
+}
+
+// A request that came late in the grace period was passed on, and broken off at its end although
+// its upstream was at work.
+#[tokio::test]
+async fn run_stopped_with_late_request() {
+    let mut node = Node::start().await;
+    node.process.stop.cancel();
+    let (status, elapsed) = status_of_late(&node, 20_000).await;
+    assert_eq!(status, 503);
+    assert!(elapsed < Duration::from_millis(300), "{elapsed:?}");
+    node.process.ended().await;
+    assert_eq!(node.received.load(Ordering::SeqCst), 0);
+}
+
+// A request whose time ends before the process does is not refused for being late.
+#[tokio::test]
+async fn run_stopped_with_late_request_of_short_time() {
+    let mut node = Node::start().await;
+    node.process.stop.cancel();
+    let (status, elapsed) = status_of_late(&node, 500).await;
+    assert_eq!(status, 504);
+    assert!(elapsed >= Duration::from_millis(500), "{elapsed:?}");
+    node.process.ended().await;
+    assert_eq!(node.received.load(Ordering::SeqCst), 1);
+}
+
 // The process ended while requests waited or ran, and their callers got no response.
 #[tokio::test]
 async fn run_stopped_with_requests_beyond_grace_period() {
--- a/crates/lentilshunt-node/tests/relay/call.rs
+++ b/crates/lentilshunt-node/tests/relay/call.rs
@@ -5,7 +5,7 @@
 use hyper::{Request, StatusCode, header::HeaderValue};
 use lentilshunt_core::{membership::Phase, traffic::Rules};
 use lentilshunt_node::relay::{
-    Pool,
+    End, Pool,
     body::{empty, full},
 };
 use rstest::rstest;
@@ -324,7 +324,10 @@
     let nodes = nodes(2).await;
     nodes[1].stop.cancel();
     let end = Instant::now() + Duration::from_millis(350);
-    nodes[1].shared.lifetime.end_at(end);
+    nodes[1].shared.lifetime.end_at(End {
+        accept_until: end,
+        respond_by: end,
+    });
     let (status, elapsed) = call_waiting_during(&nodes, |_node| {}).await;
     assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
     assert!(elapsed < Duration::from_millis(400), "{elapsed:?}");
