fix(relay): let other tasks run while a connection sends bytes without end

Reported by another operator: an upstream sent bytes that were no response, without end, in a head or a body; the machine kept them all, ran out of memory, and the requests of other callers ended with it (LOST).

But while an upstream sent zeros without end as the size of a chunk, its node served no other request.

Cause: the parser consumes such zeros without passing anything on, so that its task reads on without a pause. The runtime suspends a task after 128 reads, of up to 400 KB here, and looks at timers after 61 tasks, so that the deadlines of these requests did not expire either.

Why it works: a connection suspends its task after each 64 KiB that it has read, so that a poll takes about as long as one read.

--- a/crates/lentilshunt-node/src/relay/mod.rs
+++ b/crates/lentilshunt-node/src/relay/mod.rs
@@ -40,6 +40,7 @@
 mod shared;
 pub mod upstream;
 mod wait_estimator;
+mod yielding;
 
 pub use call::Call;
 pub use dispatcher::{Dispatcher, Progress};
--- a/crates/lentilshunt-node/src/relay/pool.rs
+++ b/crates/lentilshunt-node/src/relay/pool.rs
@@ -33,6 +33,7 @@
     body::{Body, Error as BodyError},
     header::is_of_another_request,
     lent_body::OnContinue,
+    yielding::Yielding,
 };
 use crate::executor::lock;
 
@@ -247,7 +248,7 @@
             .unwrap_or_else(|elapsed| Err(elapsed.into()))
             .context(ConnectSnafu { address })?;
         configure_socket(&stream).context(ConnectSnafu { address })?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::handshake(TokioIo::new(Yielding::new(stream)))
             .await
             .context(NotSentSnafu { address })?;
         // The exchange in flight receives the error of the connection.
--- a/crates/lentilshunt-node/src/relay/server.rs
+++ b/crates/lentilshunt-node/src/relay/server.rs
@@ -33,6 +33,7 @@
     body::{Body, status_response},
     caught::Caught,
     pool::configure_socket,
+    yielding::Yielding,
 };
 
 /// Delay after a failed accept, for example without free file descriptors.
@@ -241,7 +242,7 @@
         queue: None,
     };
     if !exchange.handler.starts_early() {
-        return serve_stream(stream, exchange, limits, shutdown).await;
+        return serve_stream(Yielding::new(stream), exchange, limits, shutdown).await;
     }
     let handler = Arc::clone(&exchange.handler);
     let queue = Arc::new(Queue::new(
