fix(relay): read at most 16 KiB at once from a connection

Cause: a connection suspended its task after 64 KiB, but one read takes up to 400 KB into the buffer of the parser, which an unoptimised build parses in tens of milliseconds. The runtime looks at timers after 61 tasks, so the deadlines of the requests without end expired late. An instance with a tenth of a core is as slow.

Change: one read takes no more than what is left until the task is suspended, and that is 16 KiB.

--- a/crates/lentilshunt-node/src/relay/yielding.rs
+++ b/crates/lentilshunt-node/src/relay/yielding.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Number of bytes after which a connection lets other tasks run.
-const MAX_BYTES_AT_ONCE: usize = 64 * 1024;
+const MAX_BYTES_AT_ONCE: usize = 16 * 1024;
 
 /// A connection that lets other tasks run after each [`MAX_BYTES_AT_ONCE`] that it has read.
 ///
@@ -39,12 +39,15 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let before = buf.filled().len();
-        let Poll::Ready(result) = Pin::new(&mut self.stream).poll_read(cx, buf) else {
+        let length = buf.remaining().min(MAX_BYTES_AT_ONCE - self.read);
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(length));
+        let Poll::Ready(result) = Pin::new(&mut self.stream).poll_read(cx, &mut part) else {
             self.read = 0;
             return Poll::Pending;
         };
-        self.read += buf.filled().len() - before;
+        let read = part.filled().len();
+        buf.advance(read);
+        self.read += read;
         Poll::Ready(result)
     }
 }
