--- a/review/8/case.py
+++ b/review/8/case.py
@@ -49,7 +49,7 @@
     in_touch_at = node.started_at + CONTACT_S + 0.3
     await asyncio.sleep(max(0, in_touch_at - world.record.now()))
     calls = [asyncio.create_task(world.call(machine, "/visit/", deadline_ms=5000, work_ms=1000))
-             for machine in (node, node, other_node, other_node)]
+             for machine in (node, other_node) for _ in range(3)]
     await asyncio.sleep(0.6)
     server.exit()
     await asyncio.gather(*calls)
--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -330,22 +330,19 @@
                 return
 
     async def respond(self, line, headers, body, reader):
-        method, target, _ = line.split(" ")
-        common = {"Server-Load": f"{self.running},0,{self.slots}", "Keep-Alive": "timeout=10"}
-        if self.is_leaving:
-            common |= {"Server-Leaving": "1", "Connection": "close"}
+        _method, target, _version = line.split(" ")
         if target == "/healthz":
             self.health_checks += 1
             status = "503 Service Unavailable" if self.is_leaving else "200 OK"
             self.record.write(f"{self.id}: health check -> {status}")
-            return message(f"HTTP/1.1 {status}", {"Instance-Id": self.id, **common})
+            return message(f"HTTP/1.1 {status}", {"Instance-Id": self.id, **self.notices()})
         attempt = headers.get("attempt-id", "")
         expected = headers.get("expect-instance", self.id)
         if expected != self.id:
             return message("HTTP/1.1 421 Misdirected Request", {"Instance-Id": self.id})
         if self.running >= self.slots:
             return message("HTTP/1.1 503 Service Unavailable",
-                           {"Attempt-Id": attempt, "Not-Executed": "1", **common})
+                           {"Attempt-Id": attempt, "Not-Executed": "1", **self.notices()})
         run = {"attempt": attempt, "at": self.record.now(), "end": None, "answered": False}
         self.runs.append(run)
         self.record.write(f"{self.id}: runs {attempt}, Deadline-Ms {headers.get('deadline-ms')}")
@@ -367,9 +364,15 @@
             self.running -= 1
             run["end"] = self.record.now()
         self.record.write(f"{self.id}: answers {attempt}")
-        common["Server-Load"] = f"{self.running},0,{self.slots}"
-        return message("HTTP/1.1 200 OK", {"Attempt-Id": attempt, "Server-Seal": f"seal-{self.id}",
-                                           **common}, f"answer to {attempt}".encode())
+        headers = {"Attempt-Id": attempt, "Server-Seal": f"seal-{self.id}", **self.notices()}
+        return message("HTTP/1.1 200 OK", headers, f"answer to {attempt}".encode())
+
+    def notices(self):
+        """Returns the headers in which the server speaks of itself."""
+        headers = {"Server-Load": f"{self.running},0,{self.slots}", "Keep-Alive": "timeout=10"}
+        if self.is_leaving:
+            headers |= {"Server-Leaving": "1", "Connection": "close"}
+        return headers
 
     @staticmethod
     async def wait_for_close(reader):
