test(review): show requests with long bodies broken off while a server is at work

A server is at work on non-idempotent requests before it reads the rest of their bodies of 300,000 bytes; the machine that took them gets SIGTERM. 2.3 s after the requests came the node breaks its connections to the server and answers 502, with 5 s to the deadline.

Cause, as far as known: TCP_USER_TIMEOUT of 2 s in relay::pool, which Linux applies also while the peer keeps its receive window closed.

The case of a leaving young server moves to 10. The case of two nodes that are stopped in turn gives way to the new one: it needs a route timeout of more than 3.5 s, and the excuse of the last sixth may be meant for either stop.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,59 +1,55 @@
-"""Two machines are stopped in turn: the one that runs a request first, then the one that took it."""
+"""A young server leaves soon after its node was stopped and started, and a heartbeat arrives late."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-2"))
-from world import GRACE_S, main
+from world import CONTACT_S, CannotRun, drain_breaks, main
 
-# Pause between the stops of two machines.
-GAP_S = 1.3
-DEADLINE_MS = 5000
-WORK_MS = 4200
+# Time by which the late heartbeat arrives after it was sent.
+HEARTBEAT_DELAY_S = 3.0
 
 
 async def play(world, is_troubled):
-    world.configure(1, [("/visit/", "non_idempotent", "besoeg", DEADLINE_MS)])
-    executing = await world.add_node("besoeg")
-    other = await world.add_node("besoeg")
-    taking = await world.add_node("statusside")
+    world.configure(1, [("/visit/", "non_idempotent", "besoeg", 5000)])
+    node = await world.add_node("besoeg")
+    other_node = await world.add_node("besoeg")
     await world.wait_until_listening()
-    for index, node in enumerate((executing, other, taking)):
-        server = await world.add_server(node, f"i-{index}")
-        server.start_heartbeats()
+    other = await world.add_server(other_node, "i-other")
+    other.start_heartbeats()
     await world.wait_until_ready()
-    await asyncio.sleep(4)
+    await asyncio.sleep(2)
 
+    server = await world.add_server(node, "i-young")
+    server.start_heartbeats()
+    await asyncio.sleep(0.3)
     if is_troubled:
-        executing.signal(signal.SIGTERM)
-        await asyncio.sleep(GAP_S)
-        taking.signal(signal.SIGTERM)
-        await asyncio.sleep(0.3)
-    calls = [world.call(taking, "/visit/", deadline_ms=DEADLINE_MS, work_ms=WORK_MS)
-             for _ in range(8)]
-    results = await asyncio.gather(*calls)
-
-    broken = []
-    for result in results:
-        answer, runs = result["answer"], result["runs"]
-        is_of_server = "server-seal" in answer.headers
-        has_time = result["ended"] - result["sent"] < DEADLINE_MS / 1000 - 0.25
-        if not is_troubled:
-            if not is_of_server:
-                broken.append(f"LOST: {result['attempt']} got {answer} without a stop")
-            continue
-        since_stop = result["ended"] - taking.term_at
-        # The server would have ended before the last sixth of the grace period of the machine that
-        # took the request.
-        would_end = [run["at"] + WORK_MS / 1000 - taking.term_at for run in runs]
-        is_excused = any(end >= GRACE_S * 5 / 6 for end in would_end)
-        if runs and not is_of_server and has_time and since_stop < GRACE_S * 5 / 6 and not is_excused:
-            broken.append(f"LOST: {result['attempt']} got {answer} {since_stop:.2f} s after the "
-                          f"SIGTERM of its machine, its server was at work and would have ended at "
-                          f"{would_end[0]:.2f} s")
-    return broken
+        # Planned work: the node is stopped and started while its server keeps running.
+        await node.restart()
+    else:
+        await asyncio.sleep(2.8)
+    server.stop_heartbeats()
+    late = server.heartbeat("ready")
+    late_at = world.record.now() + HEARTBEAT_DELAY_S
+    await asyncio.sleep(0.7)
+    if is_troubled and server.health_checks == 0:
+        raise CannotRun("the node did not find the server by its health check")
+    if not await server.deregister():
+        raise CannotRun("the deregistration was not acknowledged")
+    acknowledged_at = world.record.now()
+    await asyncio.sleep(max(0, late_at - world.record.now()))
+    await server.send(late)
+
+    # Both machines are in touch again.
+    in_touch_at = node.started_at + CONTACT_S + 0.2
+    await asyncio.sleep(max(0.4, in_touch_at - world.record.now()))
+    calls = [asyncio.create_task(world.call(machine, "/visit/", deadline_ms=5000, work_ms=1000))
+             for machine in (node, other_node) for _ in range(3)]
+    await asyncio.sleep(0.6)
+    server.exit()
+    await asyncio.gather(*calls)
+    return drain_breaks(server, acknowledged_at)
 
 
 main(Path(__file__).parent, play)
--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -11,6 +11,7 @@
 import random
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -26,6 +27,7 @@
 CONTACT_S = 3.0
 GRACE_S = 6.0
 RESTART_DELAY_S = 0.2
+LONG_BODY_BYTES = 100_000
 CONFIG_APPLY_S = 2.0
 
 
@@ -98,8 +100,12 @@
         self.server = None
         self.tasks = set()
 
-    async def listen(self, ip, port=0):
-        self.server = await asyncio.start_server(self._serve, ip, port)
+    async def listen(self, ip, port=0, receive_buffer=None):
+        listener = socket.create_server((ip, port))
+        if receive_buffer is not None:
+            # Inherited by the connections.
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        self.server = await asyncio.start_server(self._serve, sock=listener)
         return self.server.sockets[0].getsockname()
 
     async def _serve(self, reader, writer):
@@ -252,6 +258,9 @@
 class AppServer(Listener):
     """An application server: runs requests, sends heartbeats, says when it leaves."""
 
+    # Size of the receive buffers of its connections; that of the system if `None`.
+    receive_buffer = None
+
     def __init__(self, record, name, service, slots=6):
         super().__init__()
         self.record = record
@@ -270,7 +279,7 @@
         self.beats = None
 
     async def start(self, ip, port, admin):
-        self.address = await self.listen(ip, port)
+        self.address = await self.listen(ip, port, self.receive_buffer)
         self.admin = admin
 
     def start_heartbeats(self):
@@ -323,12 +332,20 @@
     async def serve(self, reader, writer):
         while (head := await read_head(reader)) is not None:
             line, headers = head
-            body = await read_body(reader, headers)
-            writer.write(await self.respond(line, headers, body, reader))
+            if int(headers.get("content-length", 0)) > LONG_BODY_BYTES:
+                answer = await self.respond_long(headers, reader)
+            else:
+                body = await read_body(reader, headers)
+                answer = await self.respond(line, headers, body, reader)
+            writer.write(answer)
             await writer.drain()
             if self.is_leaving:
                 return
 
+    async def respond_long(self, headers, reader):
+        """Runs a request with a long body, which has not been read."""
+        raise NotImplementedError
+
     async def respond(self, line, headers, body, reader):
         _method, target, _version = line.split(" ")
         if target == "/healthz":
@@ -432,6 +449,16 @@
             writer.close()
 
 
+def unread_bytes(address):
+    """Returns how many bytes have arrived on connections to an address and were not read."""
+    ip, port = address
+    local = "".join(f"{int(part):02X}" for part in reversed(ip.split("."))) + f":{port:04X}"
+    established = "01"
+    rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    return sum(int(row[4].split(":")[1], 16) for row in rows
+               if row[1] == local and row[3] == established)
+
+
 async def accepts_connections(address):
     try:
         _reader, writer = await asyncio.open_connection(*address)
@@ -567,8 +594,8 @@
         await node.start()
         return node
 
-    async def add_server(self, node, name, slots=6):
-        server = AppServer(self.record, name, node.service, slots)
+    async def add_server(self, node, name, slots=6, kind=AppServer):
+        server = kind(self.record, name, node.service, slots)
         await server.start(*node.app, node.admin)
         self.servers.append(server)
         return server
