fix(fleet): keep the start of an upstream that deregisters

Cause: a deregistration was completed from the previous report of the process, and its start with it. After a restart of the node that is a health check, which has no start, so that the departure had none either. A delayed report was then held off for half an interval for each earlier one, too short a time for a young upstream. Log of the node on the old code: phase gone with started_ms 0, then phase ready with sequence 3.

Change: the start in the deregistration is kept, so that each earlier report of the process is recognised as such.

--- a/crates/lentilshunt-node/src/fleet/report.rs
+++ b/crates/lentilshunt-node/src/fleet/report.rs
@@ -184,6 +184,8 @@
         }
         match self.executor.upstream(now) {
             Some(upstream) if upstream.is_same_start(report) => Report {
+                // An upstream that was found by its health check has no known start.
+                started_ms: report.started_ms.max(upstream.report.started_ms),
                 phase: Phase::Gone,
                 ..upstream.report.clone()
             },
--- a/crates/lentilshunt-node/tests/relay/reports.rs
+++ b/crates/lentilshunt-node/tests/relay/reports.rs
@@ -1,6 +1,9 @@
 //! Tests of reports of an upstream with numbers that hardly fit.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use hyper::StatusCode;
@@ -11,7 +14,10 @@
 use lentilshunt_net::http::Shutdown;
 use lentilshunt_node::{
     fleet::{Codec, DecodeError, Reports},
-    relay::{HeaderLimits, Server, upstream::Report},
+    relay::{
+        HeaderLimits, Server,
+        upstream::{Change, Report},
+    },
 };
 use rstest::rstest;
 use tokio::{
@@ -110,11 +116,42 @@
     };
     let published = send(node, gone).await;
     assert_eq!(published.is_some(), expected == Phase::Gone);
-    let upstream = node.executor.upstream(std::time::Instant::now());
+    let upstream = node.executor.upstream(Instant::now());
     let phase = upstream.map(|upstream| upstream.report.phase);
     assert_eq!(phase, Some(expected));
 }
 
+// The start in the deregistration of an upstream that its node had found by a health check was
+// dropped, and a delayed report brought the upstream back into use.
+#[tokio::test]
+async fn deregister_found_upstream() {
+    let nodes = nodes(1).await;
+    let node = &nodes[0];
+    let found = Report {
+        started_ms: 0,
+        ..report("p9", 0, Phase::Ready)
+    };
+    // The upstream of the fixture has been silent by then.
+    let found_at = Instant::now() + Duration::from_secs(3);
+    let change = node.executor.apply_report(&found, found_at);
+    assert_eq!(change, Change::Changed);
+    let gone = Report {
+        started_ms: 5,
+        service: String::new(),
+        slots: 0,
+        ..report("p9", 0, Phase::Gone)
+    };
+    let record = send(node, gone).await.expect("a record");
+    assert_eq!((record.phase, record.slots), (Phase::Gone, 2));
+    let delayed = Report {
+        started_ms: 5,
+        ..report("p9", 3, Phase::Ready)
+    };
+    let delayed_at = found_at + Duration::from_secs(60);
+    let change = node.executor.apply_report(&delayed, delayed_at);
+    assert_eq!(change, Change::Ignored);
+}
+
 // The upstream stayed in use after it had left.
 #[tokio::test]
 async fn deregister_after_highest_sequence() {
@@ -131,7 +168,7 @@
     };
     let record = send(node, gone).await.expect("a record");
     assert_eq!((record.phase, record.slots), (Phase::Gone, 2));
-    let upstream = node.executor.upstream(std::time::Instant::now());
+    let upstream = node.executor.upstream(Instant::now());
     let phase = upstream.map(|upstream| upstream.report.phase);
     assert_eq!(phase, Some(Phase::Gone));
 }
