fix(relay): heed a response of a leaving upstream whose start became known

Cause: the response was matched with the current upstream by a hash of its id and start. The start is unknown when the request is sent, and known when the response arrives.

Change: a response is that of the current upstream if the ids are equal and the starts do not differ, as for deregistrations.

Check: leaving::call_leaving_after_first_report fails without the change (left: Ready, right: Draining) and passes with it.

--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -177,12 +177,12 @@
     }
 
     /// Stops sending calls to a process that has said that it leaves, if it is the current one.
-    fn mark_leaving(&self, process_hash: u64, source: &'static str) {
+    fn mark_leaving(&self, is_process: impl Fn(&Upstream) -> bool, source: &'static str) {
         let _guard = lock(&self.report_lock);
         let Some(current) = self.upstream.load_full() else {
             return;
         };
-        if current.is_leaving() || current.process_hash() != process_hash {
+        if current.is_leaving() || !is_process(&current) {
             return;
         }
         let leaving = current.leaving();
@@ -308,7 +308,7 @@
     /// restarted.
     pub fn apply_notice(&self, notice: &Notice) {
         if notice.is_leaving {
-            self.mark_leaving(notice.process, "node");
+            self.mark_leaving(|current| current.process_hash() == notice.process, "node");
         }
         let upstream = self.upstream.load();
         let is_current = upstream
@@ -582,7 +582,9 @@
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
             self.observe_rate_limit(headers, has_not_run);
             if headers.contains_key(&self.header_names.leaving) {
-                self.mark_leaving(upstream.process_hash(), "response");
+                // Its first report may have arrived since the request was sent.
+                let is_sender = |current: &Upstream| current.is_same_start(&upstream.report);
+                self.mark_leaving(is_sender, "response");
             }
         }
         if has_not_run {
--- a/crates/lentilshunt-node/src/relay/upstream.rs
+++ b/crates/lentilshunt-node/src/relay/upstream.rs
@@ -69,15 +69,15 @@
         upstream
     }
 
-    /// Returns whether a deregistration is that of this process, and not of an earlier start of it.
+    /// Returns whether a report is that of this process, and not of another start of it.
     ///
     /// One without a start counts as that of the current process.
     #[must_use]
-    pub fn is_same_start(&self, deregistration: &Report) -> bool {
+    pub fn is_same_start(&self, report: &Report) -> bool {
         let own = &self.report;
-        let starts = [own.started_ms, deregistration.started_ms];
+        let starts = [own.started_ms, report.started_ms];
         let is_known = !starts.contains(&0);
-        own.process == deregistration.process && (starts[0] == starts[1] || !is_known)
+        own.process == report.process && (starts[0] == starts[1] || !is_known)
     }
 
     /// Returns whether the report of a process comes from this one.
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -68,7 +68,7 @@
 /// - `lasting`: responds after the number of milliseconds that follows in the path.
 /// - `slow`: responds after 20 s.
 /// - `limited`: names a limit of ten requests per second.
-/// - `leaving`: says that it leaves.
+/// - `leaving`, also as a later segment: says that it leaves.
 /// - `foreign`: echoes the id of another request.
 #[derive(Debug, Default)]
 pub struct Upstream {
@@ -176,7 +176,7 @@
         if path.starts_with("/limited/") {
             headers.insert("limit", HeaderValue::from_static("10.0"));
         }
-        if path.starts_with("/leaving/") {
+        if path.contains("/leaving/") {
             headers.insert("leaving", HeaderValue::from_static("1"));
         }
         if let Some(echoed) = echoed {
--- a/crates/lentilshunt-node/tests/relay/leaving.rs
+++ b/crates/lentilshunt-node/tests/relay/leaving.rs
@@ -1,10 +1,14 @@
 //! Tests of calls to upstreams that say in a response that they leave.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
 use lentilshunt_core::{membership::Phase, overload::Notice};
-use lentilshunt_node::relay::body::empty;
+use lentilshunt_node::relay::{
+    body::empty,
+    upstream::{Change, Report},
+};
+use tokio::time::sleep;
 
 use crate::fixture::{Node, call, nodes, report};
 
@@ -34,6 +38,31 @@
     assert_eq!(nodes.iter().map(received).collect::<Vec<_>>(), [1, 40]);
 }
 
+// A response that said that the upstream leaves was ignored if the upstream had been found by a
+// health check, and its first report had arrived since the request was sent.
+#[tokio::test]
+async fn call_leaving_after_first_report() {
+    let nodes = nodes(1).await;
+    let node = &nodes[0];
+    let found = Report {
+        started_ms: 0,
+        ..report("p2", 0, Phase::Ready)
+    };
+    // The upstream of the fixture has been silent by then.
+    let found_at = Instant::now() + Duration::from_secs(3);
+    node.executor.apply_report(&found, found_at);
+    let first = async {
+        sleep(Duration::from_millis(100)).await;
+        let first = report("p2", 1, Phase::Ready);
+        let change = node.executor.apply_report(&first, found_at);
+        assert_eq!(change, Change::Changed);
+    };
+    let called = call(node, "/lasting/300/leaving/", &[], empty());
+    let (response, ()) = tokio::join!(called, first);
+    assert_eq!(response.status, StatusCode::OK);
+    assert_eq!(phase(node), Phase::Draining);
+}
+
 // A report that was sent before the response must not bring the upstream back.
 #[tokio::test]
 async fn apply_report_after_leaving_response() {
