fix(relay,fleet): remember each process that has left, not only the last one

An upstream that had left was used again where two delayed reports arrived: that of an earlier process, or of an earlier start under the same id, replaced the departed one after a pause in reports, and one of the departed process then counted as that of a later start. The same held for a node that had restarted, as the row in the store had the last departure only.

Cause: the departure was a property of the current upstream and went with it.

Change: core::leaving::History keeps up to eight departed processes for two minutes, beside the current upstream. A report of one of them is ignored if it has the same start. If the starts cannot be compared (one is unknown, or the clock may have been set back) it is ignored for ten seconds, since reports may arrive seconds late; a process that has really started again is then used ten seconds later. The row keeps all of them; its first fields stay as they were.

--- a/crates/lentilshunt-core/src/lib.rs
+++ b/crates/lentilshunt-core/src/lib.rs
@@ -10,6 +10,7 @@
 //! | module | purpose |
 //! |---|---|
 //! | [`config`] | content, encoding and validation of an accepted configuration |
+//! | [`leaving`] | upstream processes that have said that they leave |
 //! | [`membership`] | nodes and upstreams of the fleet and their phases |
 //! | [`dissemination`] | distribution of versions and records to every node |
 //! | [`routing`] | choice of the endpoint of each attempt |
@@ -34,6 +35,7 @@
 pub mod encoding;
 pub mod execution;
 pub mod id;
+pub mod leaving;
 pub mod membership;
 pub mod organisation;
 pub mod overload;
--- a/crates/lentilshunt-node/src/fleet/departure/ledger.rs
+++ b/crates/lentilshunt-node/src/fleet/departure/ledger.rs
@@ -6,51 +6,42 @@
     time::{Duration, Instant},
 };
 
-use lentilshunt_core::{encoding, id::InstanceId};
+use lentilshunt_core::{encoding, id::InstanceId, leaving::Departure};
 use slog::{info, warn};
 use tokio::{
     sync::{Notify, watch},
     time::timeout_at,
 };
 
-use super::{Departure, row};
+use super::row::{self, Row};
 use crate::{
     executor::lock,
     fleet::{Change, TableStore, TableUpdate},
-    relay::{Executor, Shared, upstream::Report},
+    relay::{Executor, Shared},
 };
 
-/// Time after a departure at which its row is removed; no report of the process is delayed so long.
-const LIFETIME: Duration = Duration::from_mins(2);
 /// Time after which the row of an instance that is no longer listed is removed by another node.
 const ORPHAN_LIFETIME: Duration = Duration::from_mins(5);
 /// Pause after a write that was not confirmed.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Keeps the last departure of the local upstream in the store.
+/// Keeps the departures of the local upstream in the store.
 #[derive(Debug)]
 pub struct Ledger {
     shared: Arc<Shared>,
     executor: Arc<Executor>,
     store: Arc<dyn TableStore>,
     table: String,
-    state: Mutex<State>,
-    /// Notified when the departure to be written changes.
+    /// When the row of each other instance is to be removed if the instance is not listed then.
+    orphaned_at: Mutex<BTreeMap<InstanceId, Instant>>,
+    /// Notified when the rows may differ from what they should contain.
     changed: Notify,
-    /// Last departure that the store has confirmed.
-    confirmed: watch::Sender<Option<Departure>>,
+    /// Departures in the row of the local instance, as far as this node knows.
+    stored: watch::Sender<Vec<Departure>>,
     /// Whether the row of the local instance has been read.
     is_read: watch::Sender<bool>,
 }
 
-#[derive(Debug, Default)]
-struct State {
-    /// Departure to be written, with the time at which its row is to be removed.
-    wanted: Option<(Departure, Instant)>,
-    /// When the row of each instance is to be removed if the instance is not listed then.
-    orphaned_at: BTreeMap<InstanceId, Instant>,
-}
-
 impl Ledger {
     /// Creates a ledger in a table that nodes also use for their own rows.
     #[must_use]
@@ -65,9 +56,9 @@
             executor,
             store,
             table,
-            state: Mutex::default(),
+            orphaned_at: Mutex::default(),
             changed: Notify::new(),
-            confirmed: watch::Sender::default(),
+            stored: watch::Sender::default(),
             is_read: watch::Sender::default(),
         }
     }
@@ -98,7 +89,7 @@
 
     /// Keeps the time after which the row of another instance is no longer needed.
     fn observe_other(&self, instance: InstanceId, is_present: bool, now: Instant) {
-        let orphaned_at = &mut lock(&self.state).orphaned_at;
+        let mut orphaned_at = lock(&self.orphaned_at);
         if is_present {
             orphaned_at.entry(instance).or_insert(now + ORPHAN_LIFETIME);
         } else {
@@ -107,17 +98,17 @@
         self.changed.notify_one();
     }
 
-    /// Applies the departure that this node had written before it started again.
+    /// Applies the departures that this node had written before it started again.
     fn restore(&self, value: &[u8], now: Instant) {
-        match encoding::decode::<Departure>(value) {
-            Ok(departure) => {
-                info!(self.shared.log, "departure of an upstream read from the store";
-                    "upstream" => &departure.process, "phase" => %departure.phase,
-                    "sequence" => departure.sequence);
-                let report = departure.report(&self.shared.service);
-                self.executor.restore_departure(report, now);
-                lock(&self.state).wanted = Some((departure.clone(), now + LIFETIME));
-                self.confirmed.send_replace(Some(departure));
+        match encoding::decode::<Row>(value).map(Row::into_departures) {
+            Ok(departures) => {
+                for departure in &departures {
+                    info!(self.shared.log, "departure of an upstream read from the store";
+                        "upstream" => &departure.process, "phase" => %departure.phase,
+                        "sequence" => departure.sequence);
+                }
+                self.executor.restore_departures(&departures, now);
+                self.stored.send_replace(departures);
                 self.changed.notify_one();
             }
             Err(error) => warn!(self.shared.log, "departure cannot be decoded, row ignored";
@@ -132,39 +123,20 @@
         let _is_read = is_read.wait_for(|is_read| *is_read).await;
     }
 
-    /// Writes the departure that a report tells of, in the background.
-    pub fn record(&self, report: &Report, now: Instant) {
-        let Some(departure) = Departure::of(report) else {
-            return;
-        };
-        let mut state = lock(&self.state);
-        let is_known = state
-            .wanted
-            .as_ref()
-            .is_some_and(|(wanted, _)| *wanted == departure);
-        if !is_known {
-            state.wanted = Some((departure, now + LIFETIME));
-            self.changed.notify_one();
-        }
+    /// Writes the departures that the executor knows, in the background.
+    pub fn update(&self) {
+        self.changed.notify_one();
     }
 
-    /// Waits until the departure that was recorded last is in the store, or until the deadline.
+    /// Waits until a departure is in the store, or until the deadline.
     ///
     /// Returns whether it is.
-    pub async fn confirmed(&self, deadline: Instant) -> bool {
-        let Some(wanted) = self.wanted() else {
-            return true;
-        };
-        let mut confirmed = self.confirmed.subscribe();
-        let is_written = confirmed.wait_for(|confirmed| confirmed.as_ref() == Some(&wanted));
+    pub async fn confirmed(&self, departure: &Departure, deadline: Instant) -> bool {
+        let mut stored = self.stored.subscribe();
+        let is_written = stored.wait_for(|stored| includes(stored, departure));
         matches!(timeout_at(deadline.into(), is_written).await, Ok(Ok(_)))
     }
 
-    fn wanted(&self) -> Option<Departure> {
-        let state = lock(&self.state);
-        state.wanted.as_ref().map(|(wanted, _)| wanted.clone())
-    }
-
     /// Writes and removes rows until the returned future is dropped.
     pub async fn run(&self) {
         self.read().await;
@@ -187,31 +159,32 @@
 
     /// Returns when the next row is to be removed.
     fn next_removal(&self) -> Option<Instant> {
-        let state = lock(&self.state);
-        let own = state.wanted.iter().map(|(_, remove_at)| *remove_at);
-        own.chain(state.orphaned_at.values().copied()).min()
+        let own = self.executor.next_departure_expiry();
+        let orphaned_at = lock(&self.orphaned_at);
+        orphaned_at.values().copied().chain(own).min()
     }
 
-    /// Writes the departure that is wanted and removes rows that are no longer needed.
+    /// Writes the departures that are known and removes rows that are no longer needed.
     ///
     /// Returns whether all writes were confirmed.
     async fn synchronize(&self) -> bool {
         let now = Instant::now();
-        let wanted = lock(&self.state).wanted.clone();
-        let is_written = match wanted {
-            None => true,
-            Some((departure, remove_at)) if now >= remove_at => self.remove_own(&departure).await,
-            Some((departure, _)) => self.write(departure).await,
-        };
+        let departures = self.executor.departed(now);
+        let is_written = self.write(departures).await;
         is_written && self.remove_orphans(now).await
     }
 
-    async fn write(&self, departure: Departure) -> bool {
-        if self.confirmed.borrow().as_ref() == Some(&departure) {
-            return true;
+    /// Writes the row of the local instance if it lacks a departure, or removes it if there is none.
+    async fn write(&self, departures: Vec<Departure>) -> bool {
+        let stored = self.stored.borrow().clone();
+        if departures
+            .iter()
+            .all(|departure| includes(&stored, departure))
+        {
+            return !departures.is_empty() || stored.is_empty() || self.remove_own().await;
         }
         let log = &self.shared.log;
-        let value = match rmp_serde::to_vec_named(&departure) {
+        let value = match rmp_serde::to_vec_named(&Row::new(departures.clone())) {
             Ok(value) => value,
             Err(error) => {
                 warn!(log, "departure cannot be encoded"; "error" => %error);
@@ -225,28 +198,27 @@
             return false;
         }
         metrics::counter!("lentilshunt_departure_writes_total", "edit" => "written").increment(1);
-        info!(log, "departure of the upstream written"; "upstream" => &departure.process,
-            "phase" => %departure.phase, "sequence" => departure.sequence);
-        self.confirmed.send_replace(Some(departure));
+        for departure in &departures {
+            info!(log, "departure of the upstream written"; "upstream" => &departure.process,
+                "phase" => %departure.phase, "sequence" => departure.sequence);
+        }
+        self.stored.send_replace(departures);
         true
     }
 
-    async fn remove_own(&self, departure: &Departure) -> bool {
-        if !self.remove(&self.shared.locality.instance).await {
-            return false;
+    async fn remove_own(&self) -> bool {
+        let is_removed = self.remove(&self.shared.locality.instance).await;
+        if is_removed {
+            self.stored.send_replace(Vec::new());
         }
-        let mut state = lock(&self.state);
-        let is_same = |(wanted, _): &mut (Departure, Instant)| wanted == departure;
-        let _removed = state.wanted.take_if(is_same);
-        self.confirmed.send_replace(None);
-        true
+        is_removed
     }
 
     /// Removes the rows of instances that are no longer listed, on the first node by preference.
     async fn remove_orphans(&self, now: Instant) -> bool {
         let due: Vec<InstanceId> = {
-            let mut state = lock(&self.state);
-            let expired = state.orphaned_at.extract_if(.., |_, at| *at <= now);
+            let mut orphaned_at = lock(&self.orphaned_at);
+            let expired = orphaned_at.extract_if(.., |_, at| *at <= now);
             expired.map(|(instance, _)| instance).collect()
         };
         let directory = self.shared.directory.load_full();
@@ -259,7 +231,7 @@
             let is_listed = nodes.iter().any(|(node, _)| *node == instance);
             if !is_listed && !self.remove(&instance).await {
                 let again_at = now + RETRY_PAUSE;
-                lock(&self.state).orphaned_at.insert(instance, again_at);
+                lock(&self.orphaned_at).insert(instance, again_at);
                 return false;
             }
         }
@@ -278,3 +250,8 @@
         true
     }
 }
+
+/// Returns whether a departure is among others.
+fn includes(departures: &[Departure], departure: &Departure) -> bool {
+    departures.iter().any(|known| known.includes(departure))
+}
--- a/crates/lentilshunt-node/src/fleet/departure/row.rs
+++ b/crates/lentilshunt-node/src/fleet/departure/row.rs
@@ -1,54 +1,38 @@
 //! Rows of departures.
 
-use std::time::Duration;
-
-use lentilshunt_core::{id::InstanceId, membership::Phase};
+use lentilshunt_core::{id::InstanceId, leaving::Departure};
 use serde::{Deserialize, Serialize};
 
-use crate::relay::upstream::Report;
-
 /// Start of the keys of the rows; no instance has such a name.
 const KEY_PREFIX: &str = "/departure/";
 
-/// An upstream process that leaves or has left.
+/// Departures of the upstream of an instance.
+///
+/// The fields of the latest one come first, as nodes of an earlier release read only these.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Departure {
-    /// Id of the process.
-    pub process: String,
-    /// Start of the process by its own clock, in milliseconds since the Unix epoch; 0 if unknown.
-    pub started_ms: u64,
-    /// Sequence number of its last report that was known.
-    pub sequence: u64,
-    /// Draining or gone.
-    pub phase: Phase,
+pub(super) struct Row {
+    #[serde(flatten)]
+    latest: Departure,
+    /// Departures of other processes, the latest last.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    earlier: Vec<Departure>,
 }
 
-impl Departure {
-    /// Returns the departure that a report tells of, or `None` if its process stays.
-    #[must_use]
-    pub fn of(report: &Report) -> Option<Self> {
-        let has_left = matches!(report.phase, Phase::Draining | Phase::Gone);
-        has_left.then(|| Self {
-            process: report.process.clone(),
-            started_ms: report.started_ms,
-            sequence: report.sequence,
-            phase: report.phase,
+impl Row {
+    /// Creates a row of departures, the latest last; returns `None` if there is none.
+    pub(super) fn new(mut departures: Vec<Departure>) -> Option<Self> {
+        let latest = departures.pop()?;
+        Some(Self {
+            latest,
+            earlier: departures,
         })
     }
 
-    /// Returns the departure as the last report of its process, which has no slots any more.
-    #[must_use]
-    pub fn report(&self, service: &str) -> Report {
-        Report {
-            process: self.process.clone(),
-            started_ms: self.started_ms,
-            sequence: self.sequence,
-            service: service.to_owned(),
-            version: String::new(),
-            warm_up_left: Duration::ZERO,
-            phase: self.phase,
-            slots: 0,
-        }
+    /// Returns the departures, the latest last.
+    pub(super) fn into_departures(self) -> Vec<Departure> {
+        let mut departures = self.earlier;
+        departures.push(self.latest);
+        departures
     }
 }
 
--- a/crates/lentilshunt-node/src/fleet/report.rs
+++ b/crates/lentilshunt-node/src/fleet/report.rs
@@ -16,10 +16,7 @@
 use slog::{info, warn};
 use tokio::sync::watch;
 
-use super::{
-    Codec,
-    departure::{Departure, Ledger},
-};
+use super::{Codec, departure::Ledger};
 use crate::{
     executor::lock,
     relay::{
@@ -131,7 +128,11 @@
             return;
         };
         let deadline = Instant::now() + MAX_CONFIRMATION_WAIT;
-        if Departure::of(report).is_some() && !ledger.confirmed(deadline).await {
+        let Some(departure) = report.departure() else {
+            return;
+        };
+        ledger.update();
+        if !ledger.confirmed(&departure, deadline).await {
             metrics::counter!("lentilshunt_departures_unconfirmed_total").increment(1);
             warn!(self.shared.log, "departure acknowledged before it is in the store";
                 "upstream" => &report.process);
@@ -153,7 +154,7 @@
     /// Publishes what a report says of the upstream.
     fn publish(&self, report: &Report) {
         if let Some(ledger) = &self.ledger {
-            ledger.record(report, Instant::now());
+            ledger.update();
         }
         let announcement = Announcement {
             address: String::new(),
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -17,6 +17,7 @@
 };
 use lentilshunt_core::{
     id::ServiceId,
+    leaving::{Departure, History},
     overload::{Notice, ParseError, Rate},
     quarantine::{QuarantineStatus, Suspects},
     verdict::{Reason, Verdict},
@@ -59,8 +60,9 @@
     header_names: HeaderNames,
     report_interval: Duration,
     upstream: ArcSwapOption<Upstream>,
-    /// Held while a report is applied, so that an older report cannot replace a newer one.
-    report_lock: Mutex<()>,
+    /// Processes that have left; locked while a report is applied, so that an older report cannot
+    /// replace a newer one.
+    history: Mutex<History>,
     /// Report of the last upstream that has said in a response that it leaves.
     departures: watch::Sender<Option<Report>>,
     /// Notified when the process, the phase or the service of the upstream changes.
@@ -118,7 +120,7 @@
             header_names: shared.header_names.clone(),
             report_interval,
             upstream: ArcSwapOption::empty(),
-            report_lock: Mutex::default(),
+            history: Mutex::default(),
             departures: watch::Sender::default(),
             changes: watch::Sender::default(),
             gate: Arc::new(Gate::new(QUEUE_CAPACITY)),
@@ -142,7 +144,16 @@
 
     /// Applies a report of the upstream and returns what it changed.
     pub fn apply_report(&self, report: &Report, now: Instant) -> Change {
-        let _guard = lock(&self.report_lock);
+        let mut history = lock(&self.history);
+        if let Some(departure) = report.departure() {
+            history.record(departure, now);
+        } else if history.holds_off(&report.start(), self.report_interval, now) {
+            metrics::counter!("lentilshunt_reports_held_off_total").increment(1);
+            info!(self.log, "report ignored, its process has left";
+                "upstream" => &report.process, "started_ms" => report.started_ms,
+                "sequence" => report.sequence);
+            return Change::Ignored;
+        }
         let current = self.upstream.load_full();
         let (change, applied) = upstream::apply_report(
             current.as_deref(),
@@ -178,7 +189,7 @@
 
     /// Stops sending calls to a process that has said that it leaves, if it is the current one.
     fn mark_leaving(&self, is_process: impl Fn(&Upstream) -> bool, source: &'static str) {
-        let _guard = lock(&self.report_lock);
+        let mut history = lock(&self.history);
         let Some(current) = self.upstream.load_full() else {
             return;
         };
@@ -187,6 +198,9 @@
         }
         let leaving = current.leaving();
         let report = leaving.report.clone();
+        if let Some(departure) = report.departure() {
+            history.record(departure, Instant::now());
+        }
         self.upstream.store(Some(Arc::new(leaving)));
         self.changes.send_replace(());
         metrics::counter!("lentilshunt_departures_total", "source" => source).increment(1);
@@ -195,14 +209,28 @@
         self.departures.send_replace(Some(report));
     }
 
-    /// Applies the last report of a process that leaves, as this node knew it before it restarted.
+    /// Applies departures that this node knew before it restarted, the latest last.
     ///
     /// A report that has arrived since may have been sent before.
-    pub fn restore_departure(&self, departure: Report, now: Instant) {
-        let _guard = lock(&self.report_lock);
+    pub fn restore_departures(&self, departures: &[Departure], now: Instant) {
+        let mut history = lock(&self.history);
+        for departure in departures {
+            history.record(departure.clone(), now);
+        }
         let current = self.upstream.load_full();
+        let departure = match current.as_deref() {
+            None => departures.last(),
+            Some(Upstream { report, .. }) => departures
+                .iter()
+                .find(|departure| departure.process == report.process)
+                .filter(|new| !report.departure().is_some_and(|known| known.includes(new))),
+        };
+        let Some(departure) = departure else {
+            return;
+        };
+        let report = Report::from_departure(departure, &self.service);
         let restored =
-            upstream::restore_departure(current.as_deref(), departure, self.report_interval, now);
+            upstream::restore_departure(current.as_deref(), report, self.report_interval, now);
         let Some(restored) = restored else {
             return;
         };
@@ -215,6 +243,20 @@
         }
     }
 
+    /// Returns the departures of processes of the upstream, the latest last.
+    #[must_use]
+    pub fn departed(&self, now: Instant) -> Vec<Departure> {
+        let mut history = lock(&self.history);
+        history.remove_expired(now);
+        history.departures()
+    }
+
+    /// Returns when the next departure is no longer needed.
+    #[must_use]
+    pub fn next_departure_expiry(&self) -> Option<Instant> {
+        lock(&self.history).next_expiry()
+    }
+
     /// Returns whether the upstream has reported itself or was found by a health check.
     #[must_use]
     pub fn has_upstream(&self) -> bool {
--- a/crates/lentilshunt-node/src/relay/upstream.rs
+++ b/crates/lentilshunt-node/src/relay/upstream.rs
@@ -3,7 +3,10 @@
 use std::time::{Duration, Instant};
 
 use hyper::http::HeaderValue;
-use lentilshunt_core::id::ServiceId;
+use lentilshunt_core::{
+    id::ServiceId,
+    leaving::{Departure, Start},
+};
 use lentilshunt_schema::peer::Phase;
 use rapidhash::v3::rapidhash_v3;
 
@@ -34,6 +37,45 @@
     pub slots: u32,
 }
 
+impl Report {
+    /// Returns the last report of a process that leaves, which has no slots any more.
+    #[must_use]
+    pub fn from_departure(departure: &Departure, service: &str) -> Self {
+        Self {
+            process: departure.process.clone(),
+            started_ms: departure.started_ms,
+            sequence: departure.sequence,
+            service: service.to_owned(),
+            version: String::new(),
+            warm_up_left: Duration::ZERO,
+            phase: departure.phase,
+            slots: 0,
+        }
+    }
+
+    /// Returns the departure that the report tells of, or `None` if its process stays.
+    #[must_use]
+    pub fn departure(&self) -> Option<Departure> {
+        let has_left = matches!(self.phase, Phase::Draining | Phase::Gone);
+        has_left.then(|| Departure {
+            process: self.process.clone(),
+            started_ms: self.started_ms,
+            sequence: self.sequence,
+            phase: self.phase,
+        })
+    }
+
+    /// Returns the start of the process.
+    #[must_use]
+    pub fn start(&self) -> Start<'_> {
+        Start {
+            process: &self.process,
+            started_ms: self.started_ms,
+            sequence: self.sequence,
+        }
+    }
+}
+
 /// The current upstream process with its newest report.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Upstream {
--- a/crates/lentilshunt-node/tests/fleet/departure.rs
+++ b/crates/lentilshunt-node/tests/fleet/departure.rs
@@ -104,6 +104,32 @@
     assert_eq!(stored_phase(&store), Some(Phase::Ready));
 }
 
+// A delayed report of a process that had left before another one brought it back into use after its
+// node had restarted.
+#[tokio::test]
+async fn run_again_after_departures() {
+    let store = Arc::<Store>::default();
+    let (address, received) = upstream().await;
+    let listen = own_addresses();
+    let mut process = Process::start(listen.clone(), address, &store).await;
+    let other = [1, 1, 0, b'2'];
+    assert!(process.report([1, 0, 2]).await);
+    assert!(process.report(other).await);
+    assert!(process.report([1, 0, 2, b'2']).await);
+    process.stop.cancel();
+    process.ended().await;
+    let process = Process::start_again(listen, address, &store);
+    for delayed in [&[1, 99, 0][..], &other] {
+        while !process.report(delayed).await {
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(status(process.send("/x").await).await, 503);
+    assert_eq!(received.load(Ordering::SeqCst), 0);
+    assert_ne!(stored_phase(&store), Some(Phase::Ready));
+}
+
 // The upstream waits a second for the acknowledgement.
 #[tokio::test]
 async fn report_departure_while_store_is_away() {
--- a/crates/lentilshunt-node/tests/fleet/process.rs
+++ b/crates/lentilshunt-node/tests/fleet/process.rs
@@ -50,7 +50,8 @@
 
 /// Rules with one route, and reports of an upstream with one slot.
 ///
-/// A report has the start, the sequence number and the phase of the upstream, a byte each.
+/// A report has the start, the sequence number and the phase of the upstream, a byte each; the last
+/// digit of its id may follow, which is otherwise 1.
 #[derive(Debug)]
 struct OneSlotCodec;
 
@@ -77,14 +78,18 @@
     }
 
     fn decode_report(&self, _path_and_query: &str, body: &[u8]) -> Result<Report, DecodeError> {
-        let [started_ms, sequence, phase] = *body else {
-            return Err(DecodeError {
-                field: "report".to_owned(),
-                problem: "needs three bytes".to_owned(),
-            });
+        let (started_ms, sequence, phase, id) = match *body {
+            [started_ms, sequence, phase] => (started_ms, sequence, phase, b'1'),
+            [started_ms, sequence, phase, id] => (started_ms, sequence, phase, id),
+            _ => {
+                return Err(DecodeError {
+                    field: "report".to_owned(),
+                    problem: "needs three or four bytes".to_owned(),
+                });
+            }
         };
         Ok(Report {
-            process: "p1".to_owned(),
+            process: format!("p{}", char::from(id)),
             started_ms: started_ms.into(),
             sequence: sequence.into(),
             service: SERVICE.to_owned(),
@@ -216,12 +221,14 @@
     }
 
     /// Sends a report, and returns whether it was acknowledged.
-    pub async fn report(&self, report: [u8; 3]) -> bool {
+    pub async fn report(&self, report: impl AsRef<[u8]>) -> bool {
+        let report = report.as_ref();
         let Ok(mut stream) = TcpStream::connect(self.listen.reports).await else {
             return false;
         };
-        let head = "POST / HTTP/1.1\r\nhost: n0\r\ncontent-length: 3\r\n\r\n";
-        let request = [head.as_bytes(), &report].concat();
+        let length = report.len();
+        let head = format!("POST / HTTP/1.1\r\nhost: n0\r\ncontent-length: {length}\r\n\r\n");
+        let request = [head.as_bytes(), report].concat();
         stream.write_all(&request).await.expect("a connection");
         let mut response = [0; 12];
         stream.read_exact(&mut response).await.expect("a response");
