fix(fleet): acknowledge a departure only if it outlives its node

Cause: a departure was acknowledged after 0.6 s although the store was away and nothing but the memory of the process had it. The process was stopped, its next start found no row, and a report from before counted as news. Log on the old code: only failed writes of the departure, no departure read after the restart, then phase ready with sequence 9.

It is acknowledged once the store and one of them have it, or two of them while the store does not respond, and refused if neither is so within 0.7 s. While the store lacks it, the nodes with a copy send it to each other and to the node of the upstream every second, so that it outlives restarts of all of them in turn; they write the row if that node does not respond.

Test replaced: report_departure_while_store_is_away demanded an acknowledgement of a departure that no other place had, which is the fault itself. In its place report_departure_that_only_the_node_knows demands that it is refused in the same time, not used, stored later and then acknowledged, and run_again_after_departure_while_store_is_away demands the acknowledgement within a second where other nodes can keep it.

--- a/crates/lentilshunt-core/src/leaving/departure.rs
+++ b/crates/lentilshunt-core/src/leaving/departure.rs
@@ -27,6 +27,29 @@
         self.process == other.process && (is_later_start || (has_start && has_phase))
     }
 
+    /// Returns whether one of several departures says all that this one says.
+    #[must_use]
+    pub fn is_among(&self, departures: &[Self]) -> bool {
+        departures.iter().any(|known| known.includes(self))
+    }
+
+    /// Merges departures into those that are known, and returns whether one of them is new.
+    pub fn merge_all(known: &mut Vec<Self>, departures: &[Self]) -> bool {
+        let mut has_changed = false;
+        for departure in departures {
+            if departure.is_among(known) {
+                continue;
+            }
+            has_changed = true;
+            let mut same = known.iter_mut();
+            match same.find(|same| same.process == departure.process) {
+                Some(same) => *same = same.clone().merge(departure.clone()),
+                None => known.push(departure.clone()),
+            }
+        }
+        has_changed
+    }
+
     /// Returns what two departures of the same process say together.
     ///
     /// That of a later start replaces that of an earlier one. An unknown start is that of the other
--- a/crates/lentilshunt-core/src/leaving/history.rs
+++ b/crates/lentilshunt-core/src/leaving/history.rs
@@ -62,6 +62,15 @@
         true
     }
 
+    /// Records departures, the latest last, and returns whether they say anything new.
+    pub fn record_all(&mut self, departures: &[Departure], now: Instant) -> bool {
+        let mut is_new = false;
+        for departure in departures {
+            is_new |= self.record(departure.clone(), now);
+        }
+        is_new
+    }
+
     /// Returns whether a report that a process is in use may have been sent before it left.
     ///
     /// `interval` is the time between two reports. Starts are compared by the clock of the
--- a/crates/lentilshunt-node/src/fleet/departure/ledger.rs
+++ b/crates/lentilshunt-node/src/fleet/departure/ledger.rs
@@ -7,13 +7,16 @@
 };
 
 use lentilshunt_core::{encoding, id::InstanceId, leaving::Departure};
-use slog::{info, warn};
+use slog::{Logger, info, warn};
 use tokio::{
     sync::{Notify, watch},
-    time::timeout_at,
+    time::{sleep_until, timeout_at},
 };
 
-use super::row::{self, Row};
+use super::{
+    Custodian, Transfer,
+    row::{self, Row},
+};
 use crate::{
     executor::lock,
     fleet::{Change, TableStore, TableUpdate},
@@ -22,6 +25,16 @@
 
 /// Time after which the row of an instance that is no longer listed is removed by another node.
 const ORPHAN_LIFETIME: Duration = Duration::from_mins(5);
+/// Maximum time for which the acknowledgement of a departure waits, if it is not kept anywhere.
+///
+/// The upstream waits a second for it.
+const MAX_CONFIRMATION_WAIT: Duration = Duration::from_millis(700);
+/// Maximum time for which the acknowledgement waits for the store if other nodes have copies.
+const MAX_STORE_WAIT: Duration = Duration::from_millis(400);
+/// Maximum time for which the acknowledgement waits for another node if the store has the row.
+const MAX_COPY_WAIT: Duration = Duration::from_millis(300);
+/// Number of copies that suffice while the store does not respond.
+const MIN_COPIES: usize = 2;
 /// Pause after a write that was not confirmed.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -30,6 +43,7 @@
 pub struct Ledger {
     shared: Arc<Shared>,
     executor: Arc<Executor>,
+    custodian: Arc<Custodian>,
     store: Arc<dyn TableStore>,
     table: String,
     /// When the row of each other instance is to be removed if the instance is not listed then.
@@ -48,12 +62,14 @@
     pub fn new(
         shared: Arc<Shared>,
         executor: Arc<Executor>,
+        custodian: Arc<Custodian>,
         store: Arc<dyn TableStore>,
         table: String,
     ) -> Self {
         Self {
             shared,
             executor,
+            custodian,
             store,
             table,
             orphaned_at: Mutex::default(),
@@ -78,7 +94,7 @@
                 continue;
             };
             if instance != self.shared.locality.instance {
-                self.observe_other(instance, value.is_some(), now);
+                self.observe_other(instance, value.as_deref(), now);
             } else if let Some(value) = value.filter(|_| !*self.is_read.borrow()) {
                 self.restore(&value, now);
             }
@@ -87,33 +103,66 @@
         update
     }
 
-    /// Keeps the time after which the row of another instance is no longer needed.
-    fn observe_other(&self, instance: InstanceId, is_present: bool, now: Instant) {
+    /// Applies the row of another instance, and keeps the time after which it is no longer needed.
+    fn observe_other(&self, instance: InstanceId, value: Option<&[u8]>, now: Instant) {
         let mut orphaned_at = lock(&self.orphaned_at);
-        if is_present {
-            orphaned_at.entry(instance).or_insert(now + ORPHAN_LIFETIME);
-        } else {
+        let Some(value) = value else {
             orphaned_at.remove(&instance);
+            self.custodian.forget(&instance);
+            return;
+        };
+        if let Some(departures) = self.decode(value) {
+            self.custodian.observe(&instance, &departures, now);
         }
+        orphaned_at.entry(instance).or_insert(now + ORPHAN_LIFETIME);
         self.changed.notify_one();
     }
 
+    /// Returns the departures in a row, or none and logs the problem if it cannot be decoded.
+    fn decode(&self, value: &[u8]) -> Option<Vec<Departure>> {
+        match encoding::decode::<Row>(value) {
+            Ok(row) => Some(row.into_departures()),
+            Err(error) => {
+                warn!(self.shared.log, "departure cannot be decoded, row ignored";
+                    "error" => %error);
+                None
+            }
+        }
+    }
+
     /// Applies the departures that this node had written before it started again.
     fn restore(&self, value: &[u8], now: Instant) {
-        match encoding::decode::<Row>(value).map(Row::into_departures) {
-            Ok(departures) => {
-                for departure in &departures {
-                    info!(self.shared.log, "departure of an upstream read from the store";
-                        "upstream" => &departure.process, "phase" => %departure.phase,
-                        "sequence" => departure.sequence);
-                }
-                self.executor.restore_departures(&departures, now);
-                self.stored.send_replace(departures);
-                self.changed.notify_one();
-            }
-            Err(error) => warn!(self.shared.log, "departure cannot be decoded, row ignored";
-                "error" => %error),
+        let Some(departures) = self.decode(value) else {
+            return;
+        };
+        for departure in &departures {
+            info!(self.shared.log, "departure of an upstream read from the store";
+                "upstream" => &departure.process, "phase" => %departure.phase,
+                "sequence" => departure.sequence);
+        }
+        self.executor.restore_departures(&departures, now);
+        self.set_stored(departures, now);
+        self.changed.notify_one();
+    }
+
+    fn set_stored(&self, departures: Vec<Departure>, now: Instant) {
+        let local = &self.shared.locality.instance;
+        self.custodian.observe(local, &departures, now);
+        self.stored.send_replace(departures);
+    }
+
+    /// Applies the departures that another node has sent.
+    pub(super) fn receive(&self, transfer: Transfer) {
+        let now = Instant::now();
+        if transfer.instance == self.shared.locality.instance {
+            self.executor.restore_departures(&transfer.departures, now);
+            self.changed.notify_one();
         }
+        self.custodian.receive(transfer, now);
+    }
+
+    pub(super) fn log(&self) -> &Logger {
+        &self.shared.log
     }
 
     /// Completes once the row of the local instance has been read.
@@ -123,18 +172,46 @@
         let _is_read = is_read.wait_for(|is_read| *is_read).await;
     }
 
-    /// Writes the departures that the executor knows, in the background.
+    /// Writes the departures that the executor knows and sends them to other nodes, in the
+    /// background.
     pub fn update(&self) {
+        let now = Instant::now();
+        self.custodian.keep(&self.executor.departed(now), now);
         self.changed.notify_one();
     }
 
-    /// Waits until a departure is in the store, or until the deadline.
+    /// Waits until a departure outlives this process, for a limited time.
     ///
-    /// Returns whether it is.
-    pub async fn confirmed(&self, departure: &Departure, deadline: Instant) -> bool {
+    /// Returns whether it does: the store has it, and another node unless none responds soon. If the
+    /// store does not respond soon, two other nodes suffice, or the only one.
+    pub async fn secure(&self, departure: &Departure) -> bool {
+        let started_at = Instant::now();
+        let copied_by = started_at + MAX_COPY_WAIT;
+        let stored_by = started_at + MAX_STORE_WAIT;
+        let deadline = started_at + MAX_CONFIRMATION_WAIT;
         let mut stored = self.stored.subscribe();
-        let is_written = stored.wait_for(|stored| includes(stored, departure));
-        matches!(timeout_at(deadline.into(), is_written).await, Ok(Ok(_)))
+        let mut holders = self.custodian.holders();
+        loop {
+            let now = Instant::now();
+            let is_stored = departure.is_among(&stored.borrow_and_update());
+            let copies = holders.borrow_and_update().len();
+            let wanted = self.custodian.wanted_copies();
+            let is_secure = if is_stored {
+                copies > 0 || wanted == 0 || now >= copied_by
+            } else {
+                copies > 0 && copies >= wanted.min(MIN_COPIES) && now >= stored_by
+            };
+            if is_secure || now >= deadline {
+                return is_secure;
+            }
+            let limits = [copied_by, stored_by, deadline];
+            let next = limits.into_iter().find(|limit| *limit > now);
+            tokio::select! {
+                _changed = stored.changed() => {}
+                _changed = holders.changed() => {}
+                () = sleep_until(next.unwrap_or(deadline).into()) => {}
+            }
+        }
     }
 
     /// Writes and removes rows until the returned future is dropped.
@@ -170,16 +247,16 @@
     async fn synchronize(&self) -> bool {
         let now = Instant::now();
         let departures = self.executor.departed(now);
-        let is_written = self.write(departures).await;
+        let is_written = self.write(departures, now).await;
         is_written && self.remove_orphans(now).await
     }
 
     /// Writes the row of the local instance if it lacks a departure, or removes it if there is none.
-    async fn write(&self, departures: Vec<Departure>) -> bool {
+    async fn write(&self, departures: Vec<Departure>, now: Instant) -> bool {
         let stored = self.stored.borrow().clone();
         if departures
             .iter()
-            .all(|departure| includes(&stored, departure))
+            .all(|departure| departure.is_among(&stored))
         {
             return !departures.is_empty() || stored.is_empty() || self.remove_own().await;
         }
@@ -202,7 +279,7 @@
             info!(log, "departure of the upstream written"; "upstream" => &departure.process,
                 "phase" => %departure.phase, "sequence" => departure.sequence);
         }
-        self.stored.send_replace(departures);
+        self.set_stored(departures, now);
         true
     }
 
@@ -250,8 +327,3 @@
         true
     }
 }
-
-/// Returns whether a departure is among others.
-fn includes(departures: &[Departure], departure: &Departure) -> bool {
-    departures.iter().any(|known| known.includes(departure))
-}
--- a/crates/lentilshunt-node/src/fleet/lifecycle.rs
+++ b/crates/lentilshunt-node/src/fleet/lifecycle.rs
@@ -29,7 +29,7 @@
     Cache, Codec, DomainStore, Feeds, Installer, Listing, NodeRegistry, NodeSettings, Orders,
     Publisher, Readiness, Reports, Restoration, StateFetcher, TableStore,
     adoption::adopt_upstream,
-    departure::Ledger,
+    departure::{Custodian, Ledger, Receiver},
     metrics::Metrics,
     quarantine::Archive,
     watch::{Subscription, watch_table},
@@ -150,6 +150,7 @@
         inbound,
         reports,
         executor,
+        custodian,
         ledger,
         records,
     } = parts.build_handlers(peer_services);
@@ -181,6 +182,7 @@
     tasks.push(tokio::spawn(state_fetcher.run()));
     tasks.extend(deciders.start(&shared, &executor, &store, &parts.pool));
     tasks.push(tokio::spawn(adopt_upstream(Arc::clone(&shared), executor)));
+    tasks.push(tokio::spawn(custodian.run()));
     tasks.extend(parts.start_store_tasks(installer, ledger, records));
     info!(log, "node started"; "service" => &settings.service,
         "domain" => &settings.locality.domain);
@@ -267,6 +269,7 @@
     inbound: Arc<dyn Handler>,
     reports: Arc<Reports>,
     executor: Arc<Executor>,
+    custodian: Arc<Custodian>,
     ledger: Arc<Ledger>,
     /// Records to be published.
     records: watch::Receiver<Option<Record>>,
@@ -379,6 +382,20 @@
             Arc::clone(pool),
         );
         let outbound = Outbound::new(Arc::clone(shared), Arc::new(dispatcher), deciders.meter);
+        let custodian = Arc::new(Custodian::new(
+            Arc::clone(shared),
+            Arc::clone(pool),
+            Arc::clone(&self.store),
+            settings.nodes_table.clone(),
+            settings.listen.advertise,
+        ));
+        let ledger = Arc::new(Ledger::new(
+            Arc::clone(shared),
+            Arc::clone(&executor),
+            Arc::clone(&custodian),
+            Arc::clone(&self.store),
+            settings.nodes_table.clone(),
+        ));
         let inbound = Inbound::new(
             Arc::clone(shared),
             Arc::clone(&executor),
@@ -386,14 +403,8 @@
             settings.listen.peers.port(),
             deciders.accountant,
             deciders.coordinator,
-            peer_services.feeds,
+            Arc::new(Receiver::new(Arc::clone(&ledger), peer_services.feeds)),
         );
-        let ledger = Arc::new(Ledger::new(
-            Arc::clone(shared),
-            Arc::clone(&executor),
-            Arc::clone(&self.store),
-            settings.nodes_table.clone(),
-        ));
         let (records, published) = watch::channel(None);
         // A random number suffices, as it only distinguishes starts of the node; the
         // revisions of the store order its records.
@@ -416,6 +427,7 @@
             inbound: Arc::new(inbound),
             reports: Arc::new(reports),
             executor,
+            custodian,
             ledger,
             records: published,
         }
--- a/crates/lentilshunt-node/src/fleet/report.rs
+++ b/crates/lentilshunt-node/src/fleet/report.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{Arc, Mutex},
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 use hyper::{
@@ -28,10 +28,6 @@
 
 /// Maximum size of a report, in bytes.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
-/// Maximum time for which the acknowledgement of a departure waits for the store.
-///
-/// The upstream waits a second for it.
-const MAX_CONFIRMATION_WAIT: Duration = Duration::from_millis(600);
 /// Media type of the response to a report.
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
@@ -68,7 +64,7 @@
 
     /// Sets where departures of the upstream are kept.
     ///
-    /// The report of one is then acknowledged once it is in the store, or after a short wait.
+    /// The report of one is then acknowledged only if it outlives this process.
     #[must_use]
     pub fn with_ledger(mut self, ledger: Arc<Ledger>) -> Self {
         self.ledger = Some(ledger);
@@ -85,7 +81,9 @@
         match self.codec.decode_report(target, &body) {
             Ok(report) if self.is_accepted(&report) => {
                 self.apply_report(&report);
-                self.wait_for_departure(&report).await;
+                if !self.secure_departure(&report).await {
+                    return status_response(StatusCode::SERVICE_UNAVAILABLE);
+                }
             }
             Ok(report) => {
                 warn!(self.shared.log, "report of another service refused";
@@ -120,23 +118,22 @@
         self.publish(&report);
     }
 
-    /// Waits until the departure that a report tells of is in the store, for a limited time.
+    /// Waits until the departure that a report tells of outlives this process, for a limited time.
     ///
-    /// The upstream repeats a report that is not acknowledged, and leaves at last in any case.
-    async fn wait_for_departure(&self, report: &Report) {
-        let Some(ledger) = &self.ledger else {
-            return;
-        };
-        let deadline = Instant::now() + MAX_CONFIRMATION_WAIT;
-        let Some(departure) = report.departure() else {
-            return;
+    /// Returns whether the report can be acknowledged. The upstream repeats one that is not, and
+    /// leaves at last in any case.
+    async fn secure_departure(&self, report: &Report) -> bool {
+        let (Some(ledger), Some(departure)) = (&self.ledger, report.departure()) else {
+            return true;
         };
         ledger.update();
-        if !ledger.confirmed(&departure, deadline).await {
+        let is_secure = ledger.secure(&departure).await;
+        if !is_secure {
             metrics::counter!("lentilshunt_departures_unconfirmed_total").increment(1);
-            warn!(self.shared.log, "departure acknowledged before it is in the store";
+            warn!(self.shared.log, "departure not acknowledged, neither the store nor other nodes have it";
                 "upstream" => &report.process);
         }
+        is_secure
     }
 
     /// Publishes that the upstream leaves when one of its responses says so, until the executor is
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -214,9 +214,7 @@
     /// A report that has arrived since may have been sent before.
     pub fn restore_departures(&self, departures: &[Departure], now: Instant) {
         let mut history = lock(&self.history);
-        for departure in departures {
-            history.record(departure.clone(), now);
-        }
+        history.record_all(departures, now);
         let current = self.upstream.load_full();
         let departure = match current.as_deref() {
             None => departures.last(),
--- a/crates/lentilshunt-node/tests/fleet/departure.rs
+++ b/crates/lentilshunt-node/tests/fleet/departure.rs
@@ -11,7 +11,7 @@
 
 use lentilshunt_core::{encoding, membership::Phase};
 use lentilshunt_node::{
-    fleet::{Registration, departure::Departure},
+    fleet::{ListenAddresses, Registration, departure::Departure},
     relay::upstream::{Report, apply_report, restore_departure},
 };
 use rstest::rstest;
@@ -23,7 +23,7 @@
 
 use super::{
     Store,
-    process::{Process, own_addresses, status},
+    process::{Process, own_addresses, registration, status},
 };
 
 /// Key of the row of the departure.
@@ -130,23 +130,137 @@
     assert_ne!(stored_phase(&store), Some(Phase::Ready));
 }
 
-// The upstream waits a second for the acknowledgement.
+/// Starts a node and `others` that have no upstream, each listed in the store.
+async fn start_fleet(
+    upstream: SocketAddr,
+    others: usize,
+    store: &Arc<Store>,
+) -> (Process, Vec<Process>) {
+    let nodes: Vec<_> = (1..=others)
+        .map(|index| (format!("n{index}"), own_addresses()))
+        .collect();
+    let rows = nodes.iter().map(|(instance, listen)| {
+        let row = registration(instance, listen, Phase::Starting);
+        (instance.clone(), row)
+    });
+    store.rows.lock().unwrap().extend(rows);
+    let process = Process::start(own_addresses(), upstream, store).await;
+    let start = |(instance, listen): (String, ListenAddresses)| {
+        Process::start_instance(&instance, listen, upstream, store)
+    };
+    let others = nodes.into_iter().map(start).collect();
+    // Each node reads the table of nodes.
+    sleep(Duration::from_millis(500)).await;
+    (process, others)
+}
+
+fn take_away(store: &Store) {
+    *store.failures.lock().unwrap() = u32::MAX;
+}
+
+fn bring_back(store: &Store) {
+    *store.failures.lock().unwrap() = 0;
+}
+
+// A departure that no other place had was acknowledged, and forgotten if the node was killed.
 #[tokio::test]
-async fn report_departure_while_store_is_away() {
+async fn report_departure_that_only_the_node_knows() {
     let store = Arc::<Store>::default();
-    let (address, _received) = upstream().await;
+    let (address, received) = upstream().await;
     let process = Process::start(own_addresses(), address, &store).await;
-    *store.failures.lock().unwrap() = u32::MAX;
+    take_away(&store);
     let sent_at = Instant::now();
-    assert!(process.report([1, 99, 1]).await);
+    assert!(!process.report([1, 99, 1]).await);
+    // The upstream waits a second for the acknowledgement.
     assert!(sent_at.elapsed() < Duration::from_secs(1));
     assert_eq!(stored(&store), None);
-    *store.failures.lock().unwrap() = 0;
+    assert_eq!(status(process.send("/x").await).await, 503);
+    assert_eq!(received.load(Ordering::SeqCst), 0);
+    bring_back(&store);
     sleep(Duration::from_millis(500)).await;
     assert_eq!(
         stored(&store).map(|departure| departure.phase),
         Some(Phase::Draining)
     );
+    assert!(process.report([1, 100, 1]).await);
+}
+
+// A departure that was acknowledged while the store was away was forgotten when its node restarted.
+#[rstest]
+#[case::drained([1, 9, 1], [1, 8, 0])]
+#[case::deregistered([1, 0, 2], [1, 99, 0])]
+#[tokio::test]
+async fn run_again_after_departure_while_store_is_away(
+    #[case] leaving: [u8; 3],
+    #[case] delayed: [u8; 3],
+) {
+    let store = Arc::<Store>::default();
+    let (address, received) = upstream().await;
+    let (mut process, _others) = start_fleet(address, 3, &store).await;
+    let listen = process.listen.clone();
+    take_away(&store);
+    let sent_at = Instant::now();
+    assert!(process.report(leaving).await);
+    assert!(sent_at.elapsed() < Duration::from_secs(1));
+    process.stop.cancel();
+    process.ended().await;
+    let process = Process::start_again(listen, address, &store);
+    sleep(Duration::from_millis(500)).await;
+    bring_back(&store);
+    while !process.report(delayed).await {
+        sleep(Duration::from_millis(20)).await;
+    }
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(status(process.send("/x").await).await, 503);
+    assert_eq!(received.load(Ordering::SeqCst), 0);
+    let departure = stored(&store).expect("a row");
+    assert_eq!((&*departure.process, departure.started_ms), ("p1", 1));
+}
+
+// A departure was forgotten when its node and the nodes with a copy restarted one after the other.
+#[tokio::test]
+async fn run_again_in_series_while_store_is_away() {
+    let store = Arc::<Store>::default();
+    let (address, received) = upstream().await;
+    let (process, others) = start_fleet(address, 2, &store).await;
+    take_away(&store);
+    assert!(process.report([1, 0, 2]).await);
+    let mut processes = vec![process];
+    processes.extend(others);
+    for index in [0, 1, 2, 0] {
+        let Process {
+            instance, listen, ..
+        } = &processes[index];
+        let (instance, listen) = (instance.clone(), listen.clone());
+        processes[index].stop.cancel();
+        processes[index].ended().await;
+        processes[index] = Process::start_instance(&instance, listen, address, &store);
+        // Each node with a copy sends it once a second.
+        sleep(Duration::from_millis(1500)).await;
+    }
+    bring_back(&store);
+    while !processes[0].report([1, 99, 0]).await {
+        sleep(Duration::from_millis(20)).await;
+    }
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(status(processes[0].send("/x").await).await, 503);
+    assert_eq!(received.load(Ordering::SeqCst), 0);
+}
+
+// The departure was not written if its node did not return.
+#[tokio::test]
+async fn write_departure_of_lost_node() {
+    let store = Arc::<Store>::default();
+    let (address, _received) = upstream().await;
+    let (mut process, _others) = start_fleet(address, 3, &store).await;
+    take_away(&store);
+    assert!(process.report([1, 0, 2]).await);
+    process.stop.cancel();
+    process.ended().await;
+    bring_back(&store);
+    sleep(Duration::from_secs(3)).await;
+    let departure = stored(&store).expect("a row");
+    assert_eq!((&*departure.process, departure.started_ms), ("p1", 1));
 }
 
 fn report(started_ms: u64, sequence: u64, phase: Phase) -> Report {
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -36,8 +36,8 @@
 use lentilshunt_node::{
     fleet::{
         Change, Changes, Codec, DecodeError, Error, Installer, NodeRegistry, Publisher,
-        Registration, Restoration, Row, RowAt, Subscription, TableSnapshot, TableStore,
-        TableUpdate, watch_table,
+        Registration, Restoration, RestoredSnafu, Row, RowAt, Subscription, TableSnapshot,
+        TableStore, TableUpdate, watch_table,
     },
     relay::{self, HeaderNames, Lifetime, Shared, upstream::Report},
 };
@@ -60,6 +60,8 @@
     /// Restorations of the store so far.
     restorations: Mutex<u16>,
     poll_timeouts: Mutex<Vec<Duration>>,
+    /// Notified to end the long polls by a restoration.
+    restored: Notify,
 }
 
 fn unavailable() -> Error {
@@ -103,7 +105,7 @@
     fn wait_for_changes<'a>(
         &'a self,
         _table: &'a str,
-        _revision: u64,
+        revision: u64,
         timeout: Duration,
     ) -> BoxFuture<'a, Result<Changes, Error>> {
         Box::pin(async move {
@@ -111,7 +113,10 @@
             let next = self.poll_results.lock().unwrap().pop();
             match next {
                 Some(result) => result,
-                None => std::future::pending().await,
+                None => {
+                    self.restored.notified().await;
+                    RestoredSnafu { revision }.fail()
+                }
             }
         })
     }
--- a/crates/lentilshunt-node/tests/fleet/process.rs
+++ b/crates/lentilshunt-node/tests/fleet/process.rs
@@ -107,6 +107,7 @@
 
 /// A node that can be stopped and started again.
 pub struct Process {
+    pub instance: String,
     pub listen: ListenAddresses,
     pub stop: CancellationToken,
     task: JoinHandle<()>,
@@ -141,17 +142,17 @@
     }
 }
 
-fn locality() -> Locality {
-    Locality::new("n0".to_owned(), "yard".to_owned(), "coast".to_owned())
+fn locality(instance: &str) -> Locality {
+    Locality::new(instance.to_owned(), "yard".to_owned(), "coast".to_owned())
 }
 
-/// Returns the row of a node with a ready upstream.
-fn registration(listen: &ListenAddresses) -> Bytes {
-    let mut record = LocalRecord::new(&locality(), listen.advertise.to_string(), 1)
+/// Returns the row of a node with an upstream in a phase.
+pub fn registration(instance: &str, listen: &ListenAddresses, phase: Phase) -> Bytes {
+    let mut record = LocalRecord::new(&locality(instance), listen.advertise.to_string(), 1)
         .record()
         .clone();
     SERVICE.clone_into(&mut record.service);
-    record.phase = Phase::Ready;
+    record.phase = phase;
     record.slots = 1;
     record.room = 1;
     let row = rmp_serde::to_vec_named(&Registration {
@@ -166,7 +167,7 @@
     pub async fn start(listen: ListenAddresses, upstream: SocketAddr, store: &Arc<Store>) -> Self {
         let rows = [
             ("rules".to_owned(), Bytes::from_static(b"1")),
-            ("n0".to_owned(), registration(&listen)),
+            ("n0".to_owned(), registration("n0", &listen, Phase::Ready)),
         ];
         store.rows.lock().unwrap().extend(rows);
         let process = Self::start_again(listen, upstream, store);
@@ -176,8 +177,18 @@
 
     /// Starts a node with the rows that the store has.
     pub fn start_again(listen: ListenAddresses, upstream: SocketAddr, store: &Arc<Store>) -> Self {
+        Self::start_instance("n0", listen, upstream, store)
+    }
+
+    /// Starts the node of an instance with the rows that the store has.
+    pub fn start_instance(
+        instance: &str,
+        listen: ListenAddresses,
+        upstream: SocketAddr,
+        store: &Arc<Store>,
+    ) -> Self {
         let settings = NodeSettings {
-            locality: locality(),
+            locality: locality(instance),
             service: SERVICE.to_owned(),
             upstream,
             listen: listen.clone(),
@@ -206,7 +217,12 @@
             let runtime = Runtime::new().expect("a runtime");
             runtime.block_on(running).expect("free addresses");
         });
-        Self { listen, stop, task }
+        Self {
+            instance: instance.to_owned(),
+            listen,
+            stop,
+            task,
+        }
     }
 
     /// Reports the upstream until the node can send requests to it.
--- a/crates/lentilshunt-node/tests/relay/reports.rs
+++ b/crates/lentilshunt-node/tests/relay/reports.rs
@@ -147,7 +147,7 @@
         started_ms: 5,
         ..report("p9", 3, Phase::Ready)
     };
-    let delayed_at = found_at + Duration::from_secs(60);
+    let delayed_at = found_at + Duration::from_mins(1);
     let change = node.executor.apply_report(&delayed, delayed_at);
     assert_eq!(change, Change::Ignored);
 }
