fix(fleet): apply the row of a departure also if it is read late

An upstream that had left would be used again if its node restarted within a second of the departure and read the table of nodes through a reader whose copy was still without the row.

Cause: the row of the local instance counted only in the first update of the table, as a node was taken to be the only one that changes it afterwards. A reader may be seconds behind, and other nodes write the row of a lost node.

Change: the row counts in each update. It is merged with what is known, which a repeated or an older row does not change.

Check: departure::run_again_with_late_row fails without the change (left: 200, right: 503) and passes with it.

--- a/crates/lentilshunt-node/src/fleet/departure/entry.rs
+++ b/crates/lentilshunt-node/src/fleet/departure/entry.rs
@@ -75,9 +75,7 @@
     pub(super) fn record_received(&mut self, departures: &[Departure], now: Instant) -> bool {
         let is_new = self.history.record_all(departures, now);
         if is_new {
-            self.is_stored = false;
-            self.send_at = now + STORE_DELAY;
-            self.write_at = now + STORE_DELAY;
+            self.lose(now);
         }
         is_new
     }
@@ -89,6 +87,13 @@
         self.is_stored = known.all(|departure| departure.is_among(departures));
     }
 
+    /// Records that the store lacks departures, which the node of the instance usually writes soon.
+    fn lose(&mut self, now: Instant) {
+        self.is_stored = false;
+        self.send_at = now + STORE_DELAY;
+        self.write_at = now + STORE_DELAY;
+    }
+
     /// Returns whether the store has all departures, as far as this node knows.
     pub(super) fn is_stored(&self) -> bool {
         self.is_stored
--- a/crates/lentilshunt-node/src/fleet/departure/ledger.rs
+++ b/crates/lentilshunt-node/src/fleet/departure/ledger.rs
@@ -81,22 +81,23 @@
 
     /// Applies the rows of departures in an update of the table, and returns the other rows.
     ///
-    /// The row of the local instance counts only in the first update, as this node writes it
-    /// afterwards.
+    /// The first update may be older than the row of the local instance, which then follows.
     pub fn apply_update(&self, mut update: TableUpdate, now: Instant) -> TableUpdate {
         let changes = update.changes_mut();
         let (own, others): (Vec<_>, _) = std::mem::take(changes)
             .into_iter()
             .partition(|change| row::parse_key(&change.key).is_some());
         *changes = others;
+        let is_complete = !matches!(update, TableUpdate::Incremental(_));
+        let local = &self.shared.locality.instance;
         for Change { key, value } in own {
             let Some(instance) = row::parse_key(&key) else {
                 continue;
             };
-            if instance != self.shared.locality.instance {
+            if instance != *local {
                 self.observe_other(instance, value.as_deref(), now);
-            } else if let Some(value) = value.filter(|_| !*self.is_read.borrow()) {
-                self.restore(&value, now);
+            } else if let Some(value) = value {
+                self.restore(&value, is_complete, now);
             }
         }
         self.is_read.send_replace(true);
@@ -130,18 +131,25 @@
         }
     }
 
-    /// Applies the departures that this node had written before it started again.
-    fn restore(&self, value: &[u8], now: Instant) {
+    /// Applies the row of the local instance, which this node may have written before it started
+    /// again.
+    ///
+    /// In a part of the table, it may be older than the last write.
+    fn restore(&self, value: &[u8], is_complete: bool, now: Instant) {
         let Some(departures) = self.decode(value) else {
             return;
         };
-        for departure in &departures {
+        let known = self.executor.departed(now);
+        for departure in departures.iter().filter(|read| !read.is_among(&known)) {
             info!(self.shared.log, "departure of an upstream read from the store";
                 "upstream" => &departure.process, "phase" => %departure.phase,
                 "sequence" => departure.sequence);
         }
         self.executor.restore_departures(&departures, now);
-        self.set_stored(departures, now);
+        let mut stored = self.stored.borrow().clone().into_iter();
+        if is_complete || stored.all(|stored| stored.is_among(&departures)) {
+            self.set_stored(departures, now);
+        }
         self.changed.notify_one();
     }
 
--- a/crates/lentilshunt-node/tests/fleet/departure.rs
+++ b/crates/lentilshunt-node/tests/fleet/departure.rs
@@ -11,7 +11,7 @@
 
 use lentilshunt_core::{encoding, membership::Phase};
 use lentilshunt_node::{
-    fleet::{ListenAddresses, Registration, departure::Departure},
+    fleet::{Change, Changes, ListenAddresses, Registration, departure::Departure},
     relay::upstream::{Report, apply_report, restore_departure},
 };
 use rstest::rstest;
@@ -263,6 +263,35 @@
     assert_eq!((&*departure.process, departure.started_ms), ("p1", 1));
 }
 
+// The row of a departure was ignored if the first read of the table did not have it yet.
+#[tokio::test]
+async fn run_again_with_late_row() {
+    let store = Arc::<Store>::default();
+    let (address, received) = upstream().await;
+    let row = Departure {
+        process: "p1".to_owned(),
+        started_ms: 1,
+        sequence: 0,
+        phase: Phase::Gone,
+    };
+    let row = rmp_serde::to_vec_named(&row).expect("an encodable row");
+    let changes = || Changes {
+        changes: vec![Change {
+            key: KEY.to_owned(),
+            value: Some(row.clone().into()),
+        }],
+        revision: 2,
+    };
+    // The rules and the nodes are in the same table.
+    let results = [Ok(changes()), Ok(changes())];
+    store.poll_results.lock().unwrap().extend(results);
+    let process = Process::start(own_addresses(), address, &store).await;
+    assert!(process.report([1, 99, 0]).await);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(status(process.send("/x").await).await, 503);
+    assert_eq!(received.load(Ordering::SeqCst), 0);
+}
+
 fn report(started_ms: u64, sequence: u64, phase: Phase) -> Report {
     Report {
         process: "p1".to_owned(),
--- a/crates/lentilshunt-node/tests/fleet/main.rs
+++ b/crates/lentilshunt-node/tests/fleet/main.rs
@@ -111,13 +111,11 @@
         Box::pin(async move {
             self.poll_timeouts.lock().unwrap().push(timeout);
             let next = self.poll_results.lock().unwrap().pop();
-            match next {
-                Some(result) => result,
-                None => {
-                    self.restored.notified().await;
-                    RestoredSnafu { revision }.fail()
-                }
+            if let Some(result) = next {
+                return result;
             }
+            self.restored.notified().await;
+            RestoredSnafu { revision }.fail()
         })
     }
 
