fix(fleet): write departures again that a restored store has lost

Cause: a departure that the store had confirmed counted as written for good. The store came back from a copy of before; the node wrote its own record again and not the departure, so that its next start found none. Log on the old code: local record lost by the restored store, and no departure written after it.

Change: the row of the local instance is compared with each complete table. Nodes with a copy do the same for the instance of the upstream, if its node does not respond or does not run.

--- a/crates/lentilshunt-node/src/fleet/departure/custodian.rs
+++ b/crates/lentilshunt-node/src/fleet/departure/custodian.rs
@@ -159,6 +159,47 @@
         }
     }
 
+    /// Forgets the departures of instances that a table no longer lists.
+    pub(super) fn retain(&self, listed: &BTreeSet<InstanceId>) {
+        let mut entries = lock(&self.entries);
+        entries.retain(|instance, entry| listed.contains(instance) || !entry.is_stored());
+    }
+
+    /// Keeps the departures that a restored table lacks, until it has them again.
+    ///
+    /// The node of an instance writes them again, if it runs.
+    pub(super) fn restore(&self, listed: &BTreeSet<InstanceId>, now: Instant) {
+        let local = &self.shared.locality.instance;
+        let mut entries = lock(&self.entries);
+        for (instance, entry) in &mut *entries {
+            if listed.contains(instance) && entry.is_stored() {
+                continue;
+            }
+            entry.lose(now);
+            if entry.nodes.is_empty() {
+                let nodes = self.choose_nodes(instance);
+                if instance == local || nodes.contains_key(local) {
+                    entry.nodes = nodes;
+                    entry.nodes.remove(local);
+                    entry.nodes.extend(self.find(instance));
+                }
+            }
+            info!(self.shared.log, "restored store lacks departures"; "instance" => instance);
+        }
+        drop(entries);
+        self.changed.notify_one();
+    }
+
+    /// Returns another instance with the address of its node, if it is listed.
+    fn find(&self, instance: &str) -> Option<(InstanceId, SocketAddr)> {
+        let directory = self.shared.directory.load_full();
+        let mut nodes = directory.coordinators().iter();
+        let found = nodes.find(|(node, _)| *node == instance);
+        found
+            .filter(|_| instance != self.shared.locality.instance)
+            .cloned()
+    }
+
     /// Sends and writes copies that the store lacks, until the returned future is dropped.
     pub async fn run(self: Arc<Self>) {
         loop {
--- a/crates/lentilshunt-node/src/fleet/departure/entry.rs
+++ b/crates/lentilshunt-node/src/fleet/departure/entry.rs
@@ -88,7 +88,7 @@
     }
 
     /// Records that the store lacks departures, which the node of the instance usually writes soon.
-    fn lose(&mut self, now: Instant) {
+    pub(super) fn lose(&mut self, now: Instant) {
         self.is_stored = false;
         self.send_at = now + STORE_DELAY;
         self.write_at = now + STORE_DELAY;
--- a/crates/lentilshunt-node/src/fleet/departure/ledger.rs
+++ b/crates/lentilshunt-node/src/fleet/departure/ledger.rs
@@ -1,7 +1,7 @@
 //! Writes departures to the store and reads them from it.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
@@ -81,7 +81,8 @@
 
     /// Applies the rows of departures in an update of the table, and returns the other rows.
     ///
-    /// The first update may be older than the row of the local instance, which then follows.
+    /// The first update may be older than the row of the local instance, which then follows. A
+    /// restored table may lack rows, which are written again.
     pub fn apply_update(&self, mut update: TableUpdate, now: Instant) -> TableUpdate {
         let changes = update.changes_mut();
         let (own, others): (Vec<_>, _) = std::mem::take(changes)
@@ -90,16 +91,34 @@
         *changes = others;
         let is_complete = !matches!(update, TableUpdate::Incremental(_));
         let local = &self.shared.locality.instance;
+        let mut listed = BTreeSet::new();
         for Change { key, value } in own {
             let Some(instance) = row::parse_key(&key) else {
                 continue;
             };
+            if value.is_some() {
+                listed.insert(instance.clone());
+            }
             if instance != *local {
                 self.observe_other(instance, value.as_deref(), now);
             } else if let Some(value) = value {
                 self.restore(&value, is_complete, now);
             }
         }
+        if is_complete && !listed.contains(local) && !self.stored.borrow().is_empty() {
+            metrics::counter!("lentilshunt_departures_lost_total").increment(1);
+            info!(
+                self.shared.log,
+                "departure lost by the store, writing it again"
+            );
+            self.set_stored(Vec::new(), now);
+            self.changed.notify_one();
+        }
+        match update {
+            TableUpdate::Full(_) => self.custodian.retain(&listed),
+            TableUpdate::Restored(_) => self.custodian.restore(&listed, now),
+            TableUpdate::Incremental(_) => {}
+        }
         self.is_read.send_replace(true);
         update
     }
--- a/crates/lentilshunt-node/tests/fleet/departure.rs
+++ b/crates/lentilshunt-node/tests/fleet/departure.rs
@@ -18,7 +18,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use super::{
@@ -263,6 +263,69 @@
     assert_eq!((&*departure.process, departure.started_ms), ("p1", 1));
 }
 
+/// Brings the store back from a copy of before the departure.
+fn restore(store: &Store) {
+    store.rows.lock().unwrap().remove(KEY);
+    *store.restorations.lock().unwrap() += 1;
+    store.restored.notify_waiters();
+}
+
+async fn wait_until_stored(store: &Store) {
+    let stored = async {
+        while stored(store).is_none() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let stored = timeout(Duration::from_secs(5), stored).await;
+    stored.expect("the row should be written");
+}
+
+// The row of a departure that a restored store had lost was not written again, and the departure was
+// forgotten when its node restarted.
+#[tokio::test]
+async fn run_again_after_lost_departures() {
+    let store = Arc::<Store>::default();
+    let (address, received) = upstream().await;
+    let listen = own_addresses();
+    let mut process = Process::start(listen.clone(), address, &store).await;
+    assert!(process.report([1, 0, 2]).await);
+    // In series.
+    for _restoration in 0..2 {
+        restore(&store);
+        wait_until_stored(&store).await;
+    }
+    process.stop.cancel();
+    process.ended().await;
+    let process = Process::start_again(listen, address, &store);
+    while !process.report([1, 99, 0]).await {
+        sleep(Duration::from_millis(20)).await;
+    }
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(status(process.send("/x").await).await, 503);
+    assert_eq!(received.load(Ordering::SeqCst), 0);
+}
+
+// The same while the node of the upstream does not run.
+#[tokio::test]
+async fn run_again_after_departure_lost_meanwhile() {
+    let store = Arc::<Store>::default();
+    let (address, received) = upstream().await;
+    let (mut process, _others) = start_fleet(address, 3, &store).await;
+    let listen = process.listen.clone();
+    assert!(process.report([1, 0, 2]).await);
+    process.stop.cancel();
+    process.ended().await;
+    restore(&store);
+    let process = Process::start_again(listen, address, &store);
+    while !process.report([1, 99, 0]).await {
+        sleep(Duration::from_millis(20)).await;
+    }
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(status(process.send("/x").await).await, 503);
+    assert_eq!(received.load(Ordering::SeqCst), 0);
+    wait_until_stored(&store).await;
+}
+
 // The row of a departure was ignored if the first read of the table did not have it yet.
 #[tokio::test]
 async fn run_again_with_late_row() {
