fix(relay): reject responses with a status that HTTP does not have

A response of an upstream with a status from 600 to 999 reached the caller as a response, and one that also had the mark of a request that had not run became a 503, which promises that it has not.

Cause: the parser accepts every status of three digits from 100 on, and the node checked the other parts of a head only.

Change: a status above 599 makes a response unreadable; whether the request has run is unknown then.

Check: hostile::call_with_invalid_status, 72 cases over both hops: 24 fail without the change (600 and 999; got 600, 999 and 503 in place of 502), all pass with it. The 48 cases of 000, 099, 20 and 2000 passed before.

--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -48,6 +48,10 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time limit for the health check of the upstream.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Highest status of a response in HTTP (RFC 9110, section 15).
+///
+/// Those below 100 are rejected by the parser of responses.
+const MAX_STATUS: u16 = 599;
 /// Number of reports that may be missing before calls are refused.
 const MAX_MISSING_REPORTS: u32 = 4;
 
@@ -615,8 +619,9 @@
         // Status 421: the process at the address is not the one that reported itself.
         let has_not_run = headers.contains_key(&self.header_names.not_run)
             || response.status() == StatusCode::MISDIRECTED_REQUEST;
-        if header::contains_status_line(&response) || (!has_not_run && !self.is_genuine(&response))
-        {
+        let is_readable =
+            response.status().as_u16() <= MAX_STATUS && !header::contains_status_line(&response);
+        if !is_readable || (!has_not_run && !self.is_genuine(&response)) {
             return Reply::unknown(Reason::BadAnswer);
         }
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
--- a/crates/lentilshunt-node/tests/relay/hostile.rs
+++ b/crates/lentilshunt-node/tests/relay/hostile.rs
@@ -126,6 +126,32 @@
     }
 }
 
+// A response with a status that HTTP does not have, such as 000, was passed on as that of the upstream.
+#[rstest]
+#[tokio::test]
+async fn call_with_invalid_status(
+    #[values("000", "099", "20", "600", "999", "2000")] status: &str,
+    #[values("signed", "unsigned", "refused")] form: &str,
+    #[values("", "/once")] route: &str,
+    #[values(0, 1)] caller: usize,
+) {
+    let upstream = RawUpstream::start().await;
+    let nodes = nodes_with_upstream(2, upstream.address).await;
+    // Only the hostile upstream is used, also for the calls of the second node.
+    nodes[1]
+        .executor
+        .apply_report(&report("p1", 2, Phase::Draining), Instant::now());
+    let node = &nodes[caller];
+    let path = format!("{route}/status/{status}/{form}");
+    let response = call_as(node, &path, "invalid").await;
+    assert_eq!(response.status, StatusCode::BAD_GATEWAY);
+    assert!(!response.headers.contains_key("seal"), "{response:?}");
+    assert_eq!(response.body.as_deref(), Some(&b""[..]));
+    let next = call_as(node, "/x", "next").await;
+    assert_eq!(next.status, StatusCode::OK);
+    assert_own_or_none(&next, "next");
+}
+
 #[tokio::test]
 async fn call_with_bytes_beyond_length() {
     let upstream = RawUpstream::start().await;
--- a/crates/lentilshunt-node/tests/relay/raw_upstream.rs
+++ b/crates/lentilshunt-node/tests/relay/raw_upstream.rs
@@ -25,6 +25,8 @@
 ///   milliseconds, the third `whole`, `cut` (inside the head), or `chunked`.
 /// - `healthz`: responds to a health check; the second segment is `ready`, `leaving` or `refused`.
 /// - `refuse`: sends a refusal twice, see [`Refusal`].
+/// - `status`: responds with the status in the second segment; the third is `signed`, `unsigned` or
+///   `refused`.
 /// - `endless`: never ends its response; the second segment gives the part that has no end.
 /// - others: responds with [`RawUpstream::body`].
 #[derive(Debug)]
@@ -199,6 +201,19 @@
                 let headers = "process: p7\r\nload: 1,0,9\r\ncontent-length: 0";
                 write(&writer, &format!("HTTP/1.1 {status}\r\n{headers}\r\n\r\n")).await;
             }
+            ["status", status, form, ..] => {
+                let mark = match form {
+                    "refused" => "not-run: 1\r\n",
+                    "signed" => "seal: sealed\r\n",
+                    _ => "",
+                };
+                let body = RawUpstream::body(&id);
+                let length = body.len();
+                let response = format!(
+                    "HTTP/1.1 {status} X\r\nattempt: {id}\r\n{mark}content-length: {length}\r\n\r\n{body}"
+                );
+                write(&writer, &response).await;
+            }
             ["endless", part, ..] => {
                 write_endless(&writer, part, &id, &endless_bytes).await;
                 wait_for_close(&mut reader).await;
