--- a/crates/lentilshunt-node/tests/relay/raw_upstream.rs
+++ b/crates/lentilshunt-node/tests/relay/raw_upstream.rs
@@ -193,26 +193,9 @@
                     }
                 }
             }
-            ["healthz", state, ..] => {
-                let status = match state {
-                    "ready" => "200 OK",
-                    _ => "503 Service Unavailable",
-                };
-                let headers = "process: p7\r\nload: 1,0,9\r\ncontent-length: 0";
-                write(&writer, &format!("HTTP/1.1 {status}\r\n{headers}\r\n\r\n")).await;
-            }
+            ["healthz", state, ..] => write(&writer, &health_response(state)).await,
             ["status", status, form, ..] => {
-                let mark = match form {
-                    "refused" => "not-run: 1\r\n",
-                    "signed" => "seal: sealed\r\n",
-                    _ => "",
-                };
-                let body = RawUpstream::body(&id);
-                let length = body.len();
-                let response = format!(
-                    "HTTP/1.1 {status} X\r\nattempt: {id}\r\n{mark}content-length: {length}\r\n\r\n{body}"
-                );
-                write(&writer, &response).await;
+                write(&writer, &status_response(status, form, &id)).await
             }
             ["endless", part, ..] => {
                 write_endless(&writer, part, &id, &endless_bytes).await;
@@ -290,6 +273,26 @@
     format!("{}content-length: {}\r\n\r\n{body}", head(id), body.len())
 }
 
+fn health_response(state: &str) -> String {
+    let status = match state {
+        "ready" => "200 OK",
+        _ => "503 Service Unavailable",
+    };
+    format!("HTTP/1.1 {status}\r\nprocess: p7\r\nload: 1,0,9\r\ncontent-length: 0\r\n\r\n")
+}
+
+/// Returns a response with any status, with the mark of a form.
+fn status_response(status: &str, form: &str, id: &str) -> String {
+    let mark = match form {
+        "refused" => "not-run: 1\r\n",
+        "signed" => "seal: sealed\r\n",
+        _ => "",
+    };
+    let body = RawUpstream::body(id);
+    let length = body.len();
+    format!("HTTP/1.1 {status} X\r\nattempt: {id}\r\n{mark}content-length: {length}\r\n\r\n{body}")
+}
+
 fn chunked_response(id: &str) -> String {
     let body = RawUpstream::body(id);
     let head = head(id);
