--- a/crates/lentilshunt-node/tests/relay/raw_upstream.rs
+++ b/crates/lentilshunt-node/tests/relay/raw_upstream.rs
@@ -195,7 +195,7 @@
             }
             ["healthz", state, ..] => write(&writer, &health_response(state)).await,
             ["status", status, form, ..] => {
-                write(&writer, &status_response(status, form, &id)).await
+                write(&writer, &status_response(status, form, &id)).await;
             }
             ["endless", part, ..] => {
                 write_endless(&writer, part, &id, &endless_bytes).await;
