fix(fleet): keep one poll of the store in flight while others pause

Cause: after a change the polls of its table pause. A departure and a version at the same time made both tables pause, and the store went away and came back from an older copy within that time. The next polls waited in the new history from positions of the old one until they timed out. Logs: nothing until the poll of 8 s ended, then the restoration is noticed and the table read at once.

Change: a table does not pause while another one does, so that an outage ends a poll, and the next call shows the restoration.

--- a/crates/lentilshunt-node/src/fleet/domain/throttle.rs
+++ b/crates/lentilshunt-node/src/fleet/domain/throttle.rs
@@ -77,11 +77,19 @@
         }
     }
 
-    /// Starts the pause in the polling of a table.
+    /// Starts the pause in the polling of a table, unless another table pauses.
+    ///
+    /// A poll that is in flight shows that the store is away, after which it may have been restored. If
+    /// all tables paused, an outage within the pause would not be noticed.
     pub fn start_pause(&self, table: &str) {
-        if let Some(PollingLimits { pause, .. }) = self.limits.get(table) {
-            let paused_until = Instant::now() + jittered(*pause);
-            lock(&self.paused_until).insert(table.to_owned(), paused_until);
+        let Some(PollingLimits { pause, .. }) = self.limits.get(table) else {
+            return;
+        };
+        let now = Instant::now();
+        let mut paused_until = lock(&self.paused_until);
+        let mut others = paused_until.iter().filter(|(other, _)| *other != table);
+        if others.all(|(_, until)| *until <= now) {
+            paused_until.insert(table.to_owned(), now + jittered(*pause));
         }
     }
 }
--- a/crates/lentilshunt-node/tests/fleet/domain.rs
+++ b/crates/lentilshunt-node/tests/fleet/domain.rs
@@ -320,6 +320,30 @@
     assert_eq!(started_at.elapsed(), Duration::ZERO);
 }
 
+// The store went away and came back from an older copy while the polls of all tables paused, and a
+// version was missed until a long poll ended.
+#[tokio::test]
+async fn wait_for_changes_while_another_table_pauses() {
+    const OTHER_TABLE: &str = "op";
+    let pause = Duration::from_secs(1);
+    let shortest_pause = pause / 2;
+    let store = Arc::new(Store::default());
+    let results = (2..6).map(|revision| Ok(changes(revision, vec![changed("rules", "9")])));
+    store.poll_results.lock().unwrap().extend(results);
+    let domain_store = domain_store_with(&store, Vec::new())
+        .with_throttle(TABLE, pause, MAX_APPLY_TIME)
+        .with_throttle(OTHER_TABLE, pause, MAX_APPLY_TIME);
+    let started_at = Instant::now();
+    for table in [TABLE, OTHER_TABLE, OTHER_TABLE] {
+        let polled = domain_store.wait_for_changes(table, 1, MAX_APPLY_TIME);
+        polled.await.expect("changes");
+    }
+    assert!(started_at.elapsed() < shortest_pause);
+    let polled = domain_store.wait_for_changes(TABLE, 1, MAX_APPLY_TIME);
+    polled.await.expect("changes");
+    assert!(started_at.elapsed() >= shortest_pause);
+}
+
 // A node that has just read the table from the store must poll it at once.
 #[tokio::test]
 async fn wait_for_changes_after_failed_poll_and_read() {
