fix(relay): wait for upstreams that read a long body late

Cause: connections have a TCP_USER_TIMEOUT of 2 s to notice that the peer has fallen silent. Linux counts a closed receive window as silence, although the peer acknowledges everything.

Change: the limit is off while a request with a body of 16 KiB or more is in flight, on connections to upstreams and between nodes. The deadline of the request ends the wait. A connection that falls silent under such a request is noticed at its deadline only.

--- a/crates/lentilshunt-node/src/relay/mod.rs
+++ b/crates/lentilshunt-node/src/relay/mod.rs
@@ -38,6 +38,7 @@
 mod reply;
 mod server;
 mod shared;
+mod socket;
 pub mod upstream;
 mod wait_estimator;
 mod yielding;
--- a/crates/lentilshunt-node/src/relay/pool.rs
+++ b/crates/lentilshunt-node/src/relay/pool.rs
@@ -7,7 +7,7 @@
     pin::Pin,
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     task::{Context, Poll},
     time::{Duration, Instant},
@@ -33,6 +33,7 @@
     body::{Body, Error as BodyError},
     header::is_of_another_request,
     lent_body::OnContinue,
+    socket::{Socket, TCP_USER_TIMEOUT},
     yielding::Yielding,
 };
 use crate::executor::lock;
@@ -45,10 +46,8 @@
 const MAX_INFORMATIONAL_RESPONSES: usize = 16;
 /// Maximum number of idle connections per server.
 const MAX_IDLE_CONNECTIONS: usize = 32;
-/// Time without a TCP acknowledgement after which a connection is closed (`TCP_USER_TIMEOUT`).
-///
-/// A lost packet is retransmitted after 200 ms, 600 ms and 1.4 s.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Length of a request body from which a server may read it late.
+const LONG_BODY_BYTES: u64 = 16 * 1024;
 /// Idle time before the first TCP keep-alive probe, and interval between probes.
 const TCP_KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered TCP keep-alive probes after which a connection is closed.
@@ -148,10 +147,26 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<Body>,
+    connection: Connection,
     expires_at: Instant,
 }
 
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Body>,
+    /// Whether the body of the request in flight is a long one, see [`Socket`].
+    sends_long_body: Arc<AtomicBool>,
+}
+
+impl Connection {
+    /// Prepares the connection for a request.
+    fn prepare(&self, sends_long_body: bool) {
+        // The request is handed to the task of the connection afterwards.
+        self.sends_long_body
+            .store(sends_long_body, Ordering::Relaxed);
+    }
+}
+
 impl Pool {
     /// Creates a pool without connections.
     ///
@@ -200,13 +215,16 @@
             is_kept: true,
         };
         let too_many = limit_informational_responses(&mut request);
-        while let Some(mut sender) = idle.pop() {
+        let length = request.body().size_hint().upper();
+        let sends_long_body = length.is_none_or(|length| length >= LONG_BODY_BYTES);
+        while let Some(mut connection) = idle.pop() {
+            connection.prepare(sends_long_body);
             let sent = tokio::select! {
-                sent = sender.try_send_request(request) => sent,
+                sent = connection.sender.try_send_request(request) => sent,
                 () = too_many.cancelled() => return InformationalSnafu { address }.fail(),
             };
             match sent {
-                Ok(response) => return self.accept(&expected, response, idle, sender),
+                Ok(response) => return self.accept(&expected, response, idle, connection),
                 Err(mut error) => match error.take_message() {
                     // The server closed the connection while it was idle.
                     Some(unsent) => request = unsent,
@@ -216,14 +234,15 @@
                 },
             }
         }
-        let mut sender = self.connect(address).await?;
+        let mut connection = self.connect(address).await?;
+        connection.prepare(sends_long_body);
         expected.is_kept = false;
         let sent = tokio::select! {
-            sent = sender.try_send_request(request) => sent,
+            sent = connection.sender.try_send_request(request) => sent,
             () = too_many.cancelled() => return InformationalSnafu { address }.fail(),
         };
         match sent {
-            Ok(response) => self.accept(&expected, response, idle, sender),
+            Ok(response) => self.accept(&expected, response, idle, connection),
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
                 let source = error.into_error();
@@ -241,19 +260,24 @@
         self.idle_list(address).lock().clear();
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Body>, Failure> {
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, Failure> {
         let deadline = Instant::now() + self.connect_timeout;
         let connected = timeout_at(deadline.into(), TcpStream::connect(address)).await;
         let stream = connected
             .unwrap_or_else(|elapsed| Err(elapsed.into()))
             .context(ConnectSnafu { address })?;
         configure_socket(&stream).context(ConnectSnafu { address })?;
-        let (sender, connection) = http1::handshake(TokioIo::new(Yielding::new(stream)))
+        let sends_long_body = Arc::<AtomicBool>::default();
+        let socket = Socket::new(stream, Arc::clone(&sends_long_body));
+        let (sender, connection) = http1::handshake(TokioIo::new(Yielding::new(socket)))
             .await
             .context(NotSentSnafu { address })?;
         // The exchange in flight receives the error of the connection.
         tokio::spawn(async move { drop(connection.await) });
-        Ok(sender)
+        Ok(Connection {
+            sender,
+            sends_long_body,
+        })
     }
 
     fn echoed_value<'a>(&self, headers: &'a HeaderMap) -> Option<&'a HeaderValue> {
@@ -267,28 +291,31 @@
         expected: &Expected,
         response: Response<Incoming>,
         idle: Arc<IdleList>,
-        sender: SendRequest<Body>,
+        connection: Connection,
     ) -> Result<Response<Body>, Failure> {
         let echo = self.echoed_header.as_ref();
         if !echo.is_none_or(|echo| expected.includes(response.headers(), echo)) {
             let address = expected.address;
             return OtherRequestSnafu { address }.fail();
         }
-        Ok(self.pooled_response(response, idle, sender))
+        Ok(self.pooled_response(response, idle, connection))
     }
 
     fn pooled_response(
         &self,
         response: Response<Incoming>,
         idle: Arc<IdleList>,
-        sender: SendRequest<Body>,
+        connection: Connection,
     ) -> Response<Body> {
         let expires_at = self.expires_at(response.headers());
         response.map(|body| {
             let mut pooled = PooledBody {
                 body,
                 idle,
-                connection: expires_at.map(|expires_at| IdleConnection { sender, expires_at }),
+                connection: expires_at.map(|expires_at| IdleConnection {
+                    connection,
+                    expires_at,
+                }),
             };
             if pooled.body.is_end_stream() {
                 pooled.release();
@@ -336,14 +363,14 @@
     }
 
     /// Removes and returns the most recently used connection, and drops expired ones.
-    fn pop(&self) -> Option<SendRequest<Body>> {
+    fn pop(&self) -> Option<Connection> {
         let now = Instant::now();
         let mut connections = self.lock();
-        connections.retain(|idle| idle.expires_at > now && !idle.sender.is_closed());
+        connections.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
         let ready = connections
             .iter()
-            .rposition(|idle| idle.sender.is_ready())?;
-        Some(connections.remove(ready).sender)
+            .rposition(|idle| idle.connection.sender.is_ready())?;
+        Some(connections.remove(ready).connection)
     }
 
     fn push(&self, connection: IdleConnection) {
--- a/crates/lentilshunt-node/tests/relay/fixture.rs
+++ b/crates/lentilshunt-node/tests/relay/fixture.rs
@@ -265,6 +265,7 @@
         ("/once/", false),
         ("/broken/once/", false),
         ("/public/", true),
+        ("/long/", false),
     ] {
         let weighted_service = WeightedService {
             service: SERVICE.into(),
@@ -273,7 +274,7 @@
         let route = Route {
             name: format!("r{prefix}"),
             idempotent,
-            timeout: Duration::from_millis(1500),
+            timeout: Duration::from_millis(if prefix == "/long/" { 8000 } else { 1500 }),
             target_latency: Duration::from_secs(1),
             rank: 0,
             is_public: prefix == "/public/",
--- a/crates/lentilshunt-node/tests/relay/long_body.rs
+++ b/crates/lentilshunt-node/tests/relay/long_body.rs
@@ -1,20 +1,32 @@
 //! Tests of calls with bodies that are too long to be sent twice.
 
-use std::{sync::atomic::Ordering, time::Duration, time::Instant};
+use std::{
+    net::SocketAddr,
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
 
 use hyper::StatusCode;
 use lentilshunt_core::membership::Phase;
-use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
+use lentilshunt_node::relay::body::full;
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpSocket, TcpStream},
+    time::sleep,
+};
 
 use crate::{
     fixture::{HOST, Node, call, chunked_body, nodes, nodes_with_upstream, report},
-    raw_upstream::RawUpstream,
+    raw_upstream::{RawUpstream, read_request},
 };
 
 /// Number of chunks of a long body.
 const CHUNKS: usize = 40;
 /// Size of a chunk in bytes.
 const CHUNK_BYTES: usize = 32 * 1024;
+/// Size of a body that is read late, more than the buffers between two nodes take.
+const LATE_BODY_BYTES: usize = 4 * 1024 * 1024;
 
 fn drain(node: &Node) {
     node.executor
@@ -68,6 +80,52 @@
     }
 }
 
+/// Starts an upstream with a small receive buffer that reads the bodies of requests late.
+fn late_reader(delay: Duration) -> SocketAddr {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(32 * 1024).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(16).unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let request = read_request(&mut stream).await?;
+                sleep(delay).await;
+                let mut read = 0;
+                let mut bytes = vec![0; 64 * 1024];
+                while read < LATE_BODY_BYTES {
+                    match stream.read(&mut bytes).await {
+                        Ok(count @ 1..) => read += count,
+                        _ => return None,
+                    }
+                }
+                let id = request.id;
+                let response = format!(
+                    "HTTP/1.1 200 OK\r\nattempt: {id}\r\nseal: sealed\r\ncontent-length: 0\r\n\r\n"
+                );
+                stream.write_all(response.as_bytes()).await.ok()
+            });
+        }
+    });
+    address
+}
+
+// A node closed its connection to an upstream that was at work before it read the rest of a long
+// body, since its receive window was closed for two seconds.
+#[rstest]
+#[tokio::test]
+async fn call_read_late(#[values(0, 1)] caller: usize) {
+    let address = late_reader(Duration::from_secs(4));
+    let nodes = nodes_with_upstream(2, address).await;
+    drain(&nodes[1]);
+    let body = full(vec![7; LATE_BODY_BYTES]);
+    let headers = [("attempt", "late"), ("deadline", "8000")];
+    let response = call(&nodes[caller], "/long/x", &headers, body).await;
+    assert_eq!(response.status, StatusCode::OK);
+    assert_eq!(response.headers["attempt"], "late");
+}
+
 // The upstream must stop within 0.5 s, and nothing is sent again.
 #[tokio::test]
 async fn call_cut_by_caller() {
