fix(fleet): write a departure less often while the store does not respond

The write was repeated five times a second for the whole outage, on each node whose upstream had left. Other nodes have copies since they are sent to them, so that a pause that grows to 1.2 s loses nothing; a report of the upstream ends it.

--- a/crates/lentilshunt-node/src/fleet/departure/ledger.rs
+++ b/crates/lentilshunt-node/src/fleet/departure/ledger.rs
@@ -35,8 +35,10 @@
 const MAX_COPY_WAIT: Duration = Duration::from_millis(300);
 /// Number of copies that suffice while the store does not respond.
 const MIN_COPIES: usize = 2;
-/// Pause after a write that was not confirmed.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Initial pause after a write that was not confirmed.
+const INITIAL_RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Maximum pause after a write that was not confirmed.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1200);
 
 /// Keeps the departures of the local upstream in the store.
 #[derive(Debug)]
@@ -244,11 +246,15 @@
     /// Writes and removes rows until the returned future is dropped.
     pub async fn run(&self) {
         self.read().await;
+        let mut retry_pause = INITIAL_RETRY_PAUSE;
         loop {
             let wake_at = if self.synchronize().await {
+                retry_pause = INITIAL_RETRY_PAUSE;
                 self.next_removal()
             } else {
-                Some(Instant::now() + RETRY_PAUSE)
+                let retry_at = Instant::now() + retry_pause;
+                retry_pause = (retry_pause * 2).min(MAX_RETRY_PAUSE);
+                Some(retry_at)
             };
             let changed = self.changed.notified();
             match wake_at {
@@ -334,7 +340,7 @@
         for instance in due {
             let is_listed = nodes.iter().any(|(node, _)| *node == instance);
             if !is_listed && !self.remove(&instance).await {
-                let again_at = now + RETRY_PAUSE;
+                let again_at = now + INITIAL_RETRY_PAUSE;
                 lock(&self.orphaned_at).insert(instance, again_at);
                 return false;
             }
