test(fleet): write a lost departure that was only read

The nodes that were told of a departure have all restarted and know it from the table, and the node of its upstream does not run, when a restored store lacks the row. departure::write_lost_departure_that_was_read passes; with the choice of nodes for such entries taken out of Custodian::restore it fails (the row should be written).

--- a/crates/lentilshunt-node/tests/fleet/departure.rs
+++ b/crates/lentilshunt-node/tests/fleet/departure.rs
@@ -326,6 +326,29 @@
     wait_until_stored(&store).await;
 }
 
+// The same while no node runs any more that was told of the departure.
+#[tokio::test]
+async fn write_lost_departure_that_was_read() {
+    let store = Arc::<Store>::default();
+    let (address, _received) = upstream().await;
+    let (mut process, others) = start_fleet(address, 3, &store).await;
+    assert!(process.report([1, 0, 2]).await);
+    process.stop.cancel();
+    process.ended().await;
+    let mut restarted = Vec::new();
+    for mut other in others {
+        other.stop.cancel();
+        other.ended().await;
+        let (instance, listen) = (other.instance.clone(), other.listen.clone());
+        restarted.push(Process::start_instance(&instance, listen, address, &store));
+    }
+    sleep(Duration::from_millis(500)).await;
+    restore(&store);
+    wait_until_stored(&store).await;
+    let departure = stored(&store).expect("a row");
+    assert_eq!((&*departure.process, departure.started_ms), ("p1", 1));
+}
+
 // The row of a departure was ignored if the first read of the table did not have it yet.
 #[tokio::test]
 async fn run_again_with_late_row() {
