--- a/crates/lentilshunt-node/src/fleet/departure/custodian.rs
+++ b/crates/lentilshunt-node/src/fleet/departure/custodian.rs
@@ -96,6 +96,8 @@
     }
 
     /// Sends the departures of the local upstream to other nodes, if one of them is new.
+    ///
+    /// The nodes that have had a copy before have to confirm the new one.
     pub(super) fn keep(&self, departures: &[Departure], now: Instant) {
         let local = &self.shared.locality.instance;
         let mut entries = lock(&self.entries);
@@ -145,7 +147,7 @@
             .send_if_modified(|holders| holders.insert(node));
     }
 
-    /// Records which departures of an instance the store has.
+    /// Records which departures of an instance the store has; it lacks the others that are known.
     pub(super) fn observe(&self, instance: &str, departures: &[Departure], now: Instant) {
         let mut entries = lock(&self.entries);
         entry(&mut entries, instance, now).record_stored(departures, now);
--- a/crates/lentilshunt-node/src/fleet/departure/entry.rs
+++ b/crates/lentilshunt-node/src/fleet/departure/entry.rs
@@ -21,6 +21,7 @@
 /// What a node knows of the departures of one instance's upstream.
 #[derive(Clone, Debug)]
 pub(super) struct Entry {
+    /// Departures.
     pub(super) history: History,
     /// Nodes that keep a copy, and the node of the instance if its address is known.
     ///
