fix(fleet): learn departures from other nodes before reports are believed

Cause: a node that restarts while the store is away, or reads a table that has just been restored without the row, believed a late report until another node sent its copy, up to two seconds later. Nodes that know a departure from the table only sent none. And a node without a directory at the departure never sent copies of it. Traces: the table is read, `upstream changed` with phase ready, and `departures received from another node` or `upstream leaves` after it.

Change: after its start a node asks the nodes that keep copies, or the last caller while no node is listed, and those that they name. Reports that the upstream is ready count once they have responded, or nobody does and the table has been read. Calls of other nodes are refused until then; those of local callers wait for up to 0.25 s. Copies are sent as soon as nodes are known.

Check: departure::run_again_before_copies_are_sent (2 cases) fails without the change (left: 200, right: 503) and passes with it.

--- a/crates/lentilshunt-node/src/fleet/departure/custodian.rs
+++ b/crates/lentilshunt-node/src/fleet/departure/custodian.rs
@@ -16,6 +16,7 @@
 use slog::{info, warn};
 use tokio::{
     sync::{Notify, watch},
+    task::JoinSet,
     time::timeout_at,
 };
 
@@ -27,7 +28,10 @@
 use crate::{
     executor::lock,
     fleet::{Error, TableStore},
-    relay::{Pool, Shared, body::full},
+    relay::{
+        Pool, Shared,
+        body::{empty, full},
+    },
 };
 
 /// Number of other nodes that keep a copy of the departures of an upstream.
@@ -82,6 +86,11 @@
         }
     }
 
+    /// Returns the address of the local node for other nodes.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns a receiver of the nodes that have a copy of the departures of the local upstream.
     pub(super) fn holders(&self) -> watch::Receiver<BTreeSet<InstanceId>> {
         self.holders.subscribe()
@@ -102,14 +111,17 @@
         let local = &self.shared.locality.instance;
         let mut entries = lock(&self.entries);
         let entry = entry(&mut entries, local, now);
-        if !entry.record_own(departures, now) {
+        // A node that starts while the store is away has no directory at first, and keeps the nodes
+        // that have sent their copy.
+        let nodes = self.choose_nodes(local);
+        let is_first = entry.nodes.is_empty() && !nodes.is_empty() && !departures.is_empty();
+        if !entry.record_own(departures, now) && !is_first {
             return;
         }
-        // A node without a directory keeps the nodes that have sent their copy.
-        let nodes = self.choose_nodes(local);
         if !nodes.is_empty() {
             entry.nodes = nodes;
         }
+        entry.send_own(now);
         self.holders.send_replace(BTreeSet::new());
         drop(entries);
         self.changed.notify_one();
@@ -260,17 +272,89 @@
         others.into_iter().take(COPIES).cloned().collect()
     }
 
-    /// Sends departures to the nodes that keep a copy of them, and to the node of their instance.
-    fn send(self: &Arc<Self>, instance: &str, entry: &Entry) {
+    /// Returns what this node knows of the departures of an instance.
+    pub(super) fn transfer(&self, instance: &str) -> Option<Transfer> {
+        let entries = lock(&self.entries);
+        entries
+            .get(instance)
+            .map(|entry| self.to_transfer(instance, entry))
+    }
+
+    /// Returns a transfer that says that no departure of an instance is known.
+    pub(super) fn empty_transfer(&self, instance: &str) -> Transfer {
+        let transfer = self.to_transfer(instance, &Entry::new(Instant::now()));
+        transfer.with(self.choose_nodes(instance))
+    }
+
+    fn to_transfer(&self, instance: &str, entry: &Entry) -> Transfer {
         let local = &self.shared.locality.instance;
         let mut nodes = entry.nodes.clone();
         nodes.insert(local.clone(), self.address);
-        let transfer = Transfer {
+        Transfer {
             sender: local.clone(),
             instance: instance.to_owned(),
             departures: entry.history.departures(),
             nodes,
-        };
+        }
+    }
+
+    /// Returns the nodes that may know the departures of the local upstream: those that keep a copy,
+    /// or the last one that has sent a call if no node is listed.
+    pub(super) fn informed_nodes(&self) -> Vec<SocketAddr> {
+        let listed = self.choose_nodes(&self.shared.locality.instance);
+        if listed.is_empty() {
+            let caller = self.shared.newest_version.borrow().node;
+            return caller.into_iter().collect();
+        }
+        listed.into_values().collect()
+    }
+
+    /// Asks nodes for the departures of the local upstream, and returns what those tell that respond.
+    pub(super) async fn inquire_all(
+        self: &Arc<Self>,
+        nodes: impl IntoIterator<Item = SocketAddr>,
+    ) -> Vec<Transfer> {
+        let mut inquiries = JoinSet::new();
+        for node in nodes {
+            inquiries.spawn(Arc::clone(self).inquire(node));
+        }
+        inquiries.join_all().await.into_iter().flatten().collect()
+    }
+
+    /// Asks a node for the departures of the local upstream.
+    ///
+    /// Returns none if it does not respond or does not know yet.
+    async fn inquire(self: Arc<Self>, node: SocketAddr) -> Option<Transfer> {
+        let log = &self.shared.log;
+        let mut request = Request::new(empty());
+        let path = Transfer::inquiry_path(&self.shared.locality.instance);
+        match path.parse() {
+            Ok(uri) => *request.uri_mut() = uri,
+            Err(error) => {
+                warn!(log, "invalid path of an inquiry"; "path" => path, "error" => %error);
+                return None;
+            }
+        }
+        let deadline = Instant::now() + SEND_TIMEOUT;
+        let sent = self
+            .pool
+            .fetch(node, request, deadline, Transfer::MAX_BYTES);
+        match sent.await {
+            Ok(response) => Transfer::decode(response.body())
+                .map_err(|error| {
+                    warn!(log, "departures of another node cannot be decoded"; "error" => %error);
+                })
+                .ok(),
+            Err(error) => {
+                info!(log, "node does not tell departures"; "node" => %node, "error" => %error);
+                None
+            }
+        }
+    }
+
+    /// Sends departures to the nodes that keep a copy of them, and to the node of their instance.
+    fn send(self: &Arc<Self>, instance: &str, entry: &Entry) {
+        let transfer = self.to_transfer(instance, entry);
         let body: Bytes = match transfer.encode() {
             Ok(body) => body.into(),
             Err(error) => {
--- a/crates/lentilshunt-node/src/fleet/departure/entry.rs
+++ b/crates/lentilshunt-node/src/fleet/departure/entry.rs
@@ -64,12 +64,16 @@
         let is_new = self.history.record_all(departures, now);
         if is_new {
             self.is_stored = false;
-            self.is_sent = false;
-            self.send_at = now;
         }
         is_new
     }
 
+    /// Sends the departures of the local upstream now, also if the store has them.
+    pub(super) fn send_own(&mut self, now: Instant) {
+        self.is_sent = false;
+        self.send_at = now;
+    }
+
     /// Records departures that another node has sent, and returns whether they are new.
     ///
     /// The store usually has them soon.
--- a/crates/lentilshunt-node/src/fleet/departure/ledger.rs
+++ b/crates/lentilshunt-node/src/fleet/departure/ledger.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
@@ -19,7 +20,7 @@
 };
 use crate::{
     executor::lock,
-    fleet::{Change, TableStore, TableUpdate},
+    fleet::{Change, Listing, TableStore, TableUpdate},
     relay::{Executor, Shared},
 };
 
@@ -35,6 +36,10 @@
 const MAX_COPY_WAIT: Duration = Duration::from_millis(300);
 /// Number of copies that suffice while the store does not respond.
 const MIN_COPIES: usize = 2;
+/// Number of times that other nodes are asked, once the table has been read, if none responds.
+const MIN_ROUNDS_WITH_TABLE: u32 = 2;
+/// Pause before other nodes are asked again.
+const INQUIRY_PAUSE: Duration = Duration::from_millis(100);
 /// Initial pause after a write that was not confirmed.
 const INITIAL_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Maximum pause after a write that was not confirmed.
@@ -201,6 +206,57 @@
         let _is_read = is_read.wait_for(|is_read| *is_read).await;
     }
 
+    /// Returns what this node knows of the departures of an instance, or `None` if it has not read
+    /// the table since its start and no other node has told it.
+    pub(super) fn transfer(&self, instance: &str) -> Option<Transfer> {
+        let known = self.custodian.transfer(instance);
+        let is_read = *self.is_read.borrow();
+        known.or_else(|| is_read.then(|| self.custodian.empty_transfer(instance)))
+    }
+
+    /// Learns the departures of the local upstream from other nodes after the start of this one, and
+    /// lets the executor believe reports then.
+    ///
+    /// The store may be away, or may have lost the row. A node that no other one responds to
+    /// believes reports once it has read the table of nodes, which `listing` tells.
+    pub async fn inquire(&self, mut listing: watch::Receiver<Listing>) {
+        let mut asked = BTreeSet::new();
+        let mut named = BTreeSet::new();
+        let mut rounds = 0;
+        loop {
+            let is_listed = *listing.borrow_and_update() != Listing::Unread;
+            rounds += u32::from(is_listed);
+            named.extend(self.custodian.informed_nodes());
+            let nodes: BTreeSet<SocketAddr> = named.difference(&asked).copied().collect();
+            let is_alone = nodes.is_empty() && is_listed;
+            asked.extend(&nodes);
+            let told = self.custodian.inquire_all(nodes).await;
+            if told.is_empty() {
+                if is_alone || rounds >= MIN_ROUNDS_WITH_TABLE {
+                    break;
+                }
+                asked.clear();
+                let again_at = Instant::now() + INQUIRY_PAUSE;
+                // The listing changes, or the pause ends.
+                let _is_elapsed = timeout_at(again_at.into(), listing.changed())
+                    .await
+                    .is_err();
+                continue;
+            }
+            for transfer in told {
+                named.extend(transfer.nodes.values().copied());
+                if !transfer.departures.is_empty() {
+                    self.receive(transfer);
+                }
+            }
+            named.remove(&self.custodian.address());
+            if named.is_subset(&asked) {
+                break;
+            }
+        }
+        self.executor.set_believes_reports(true);
+    }
+
     /// Writes the departures that the executor knows and sends them to other nodes, in the
     /// background.
     pub fn update(&self) {
--- a/crates/lentilshunt-node/src/fleet/departure/transfer.rs
+++ b/crates/lentilshunt-node/src/fleet/departure/transfer.rs
@@ -26,6 +26,27 @@
     /// Maximum size of an accepted transfer, in bytes.
     pub const MAX_BYTES: usize = 16 * 1024;
 
+    /// Adds nodes that may keep a copy.
+    #[must_use]
+    pub fn with(mut self, nodes: BTreeMap<InstanceId, SocketAddr>) -> Self {
+        self.nodes.extend(nodes);
+        self
+    }
+
+    /// Returns the path of an inquiry for the departures of an instance.
+    ///
+    /// The response is a transfer, without departures if none is known.
+    #[must_use]
+    pub fn inquiry_path(instance: &str) -> String {
+        format!("{}/{instance}", Self::PATH)
+    }
+
+    /// Returns the instance of an inquiry, or `None` if the path is none of one.
+    #[must_use]
+    pub fn parse_inquiry(path: &str) -> Option<&str> {
+        path.strip_prefix(Self::PATH)?.strip_prefix('/')
+    }
+
     /// Encodes the transfer.
     ///
     /// # Errors
--- a/crates/lentilshunt-node/src/fleet/lifecycle.rs
+++ b/crates/lentilshunt-node/src/fleet/lifecycle.rs
@@ -389,6 +389,7 @@
             settings.nodes_table.clone(),
             settings.listen.advertise,
         ));
+        executor.set_believes_reports(false);
         let ledger = Arc::new(Ledger::new(
             Arc::clone(shared),
             Arc::clone(&executor),
@@ -439,7 +440,7 @@
         installer: Arc<Installer>,
         ledger: Arc<Ledger>,
         records: watch::Receiver<Option<Record>>,
-    ) -> [JoinHandle<()>; 3] {
+    ) -> [JoinHandle<()>; 4] {
         let Self {
             settings,
             shared,
@@ -460,7 +461,10 @@
         );
         let restorations = registry.restorations();
         let departures = Arc::clone(&ledger);
+        let inquirer = Arc::clone(&ledger);
+        let inquiry_listing = registry.listing();
         [
+            tokio::spawn(async move { inquirer.inquire(inquiry_listing).await }),
             tokio::spawn(async move {
                 // Otherwise a delayed report could publish an upstream that has left.
                 departures.read().await;
--- a/crates/lentilshunt-node/src/relay/executor.rs
+++ b/crates/lentilshunt-node/src/relay/executor.rs
@@ -52,6 +52,9 @@
 ///
 /// Those below 100 are rejected by the parser of responses.
 const MAX_STATUS: u16 = 599;
+/// Maximum time for which a call of a local caller waits until reports are believed, which takes a
+/// few exchanges with other nodes after a start.
+const MAX_BELIEF_WAIT: Duration = Duration::from_millis(250);
 /// Number of reports that may be missing before calls are refused.
 const MAX_MISSING_REPORTS: u32 = 4;
 
@@ -67,6 +70,9 @@
     /// Processes that have left; locked while a report is applied, so that an older report cannot
     /// replace a newer one.
     history: Mutex<History>,
+    /// Whether a report that the upstream is ready can be believed; departures from before the start
+    /// of this node may not be known yet.
+    believes_reports: watch::Sender<bool>,
     /// Report of the last upstream that has said in a response that it leaves.
     departures: watch::Sender<Option<Report>>,
     /// Notified when the process, the phase or the service of the upstream changes.
@@ -125,6 +131,7 @@
             report_interval,
             upstream: ArcSwapOption::empty(),
             history: Mutex::default(),
+            believes_reports: watch::Sender::new(true),
             departures: watch::Sender::default(),
             changes: watch::Sender::default(),
             gate: Arc::new(Gate::new(QUEUE_CAPACITY)),
@@ -245,6 +252,11 @@
         }
     }
 
+    /// Sets whether a report that the upstream is ready is believed; calls are refused otherwise.
+    pub fn set_believes_reports(&self, believes_reports: bool) {
+        self.believes_reports.send_replace(believes_reports);
+    }
+
     /// Returns the departures of processes of the upstream, the latest last.
     #[must_use]
     pub fn departed(&self, now: Instant) -> Vec<Departure> {
@@ -368,8 +380,10 @@
 
     /// Runs a call of a local caller, or refuses it.
     ///
-    /// It waits for a slot until the end of this node.
+    /// It waits for a slot until the end of this node, and for a short time until reports of the
+    /// upstream are believed.
     pub async fn execute(&self, call: &Call, body: Body) -> Reply {
+        self.wait_until_believed(call).await;
         let released = async {
             self.shared.lifetime.ended().await;
             Reason::Draining
@@ -378,6 +392,18 @@
         self.record_reply(call, reply)
     }
 
+    /// Waits until reports are believed, for a short time after the start of the node only.
+    async fn wait_until_believed(&self, call: &Call) {
+        if *self.believes_reports.borrow() {
+            return;
+        }
+        let mut believes_reports = self.believes_reports.subscribe();
+        let wait_until = call.deadline.min(Instant::now() + MAX_BELIEF_WAIT);
+        let believed = believes_reports.wait_for(|believes_reports| *believes_reports);
+        // The call is refused otherwise.
+        let _is_elapsed = timeout_at(wait_until.into(), believed).await.is_err();
+    }
+
     /// Runs a call of another node, or refuses it.
     ///
     /// It does not wait for a slot once this node refuses such calls, since another node may have
@@ -544,6 +570,9 @@
     fn check_ready(&self, call: &Call) -> Result<Arc<Upstream>, Reason> {
         let now = Instant::now();
         let upstream = self.upstream(now).ok_or(Reason::NotReady)?;
+        if !*self.believes_reports.borrow() {
+            return Err(Reason::NotReady);
+        }
         match upstream.report.phase {
             Phase::Ready => {}
             Phase::Draining | Phase::Gone => return Err(Reason::Draining),
--- a/crates/lentilshunt-node/tests/fleet/departure.rs
+++ b/crates/lentilshunt-node/tests/fleet/departure.rs
@@ -326,6 +326,38 @@
     wait_until_stored(&store).await;
 }
 
+// A delayed report was believed until another node had sent its copy of the departure.
+#[rstest]
+#[case::restored(true)]
+#[case::away(false)]
+#[tokio::test]
+async fn run_again_before_copies_are_sent(#[case] is_restored: bool) {
+    let store = Arc::<Store>::default();
+    let (address, received) = upstream().await;
+    let (mut process, others) = start_fleet(address, 3, &store).await;
+    let listen = process.listen.clone();
+    assert!(process.report([1, 0, 2]).await);
+    process.stop.cancel();
+    process.ended().await;
+    if is_restored {
+        restore(&store);
+    } else {
+        take_away(&store);
+    }
+    let process = Process::start_again(listen, address, &store);
+    while !process.report([1, 99, 0]).await {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let until = Instant::now() + Duration::from_secs(3);
+    while Instant::now() < until {
+        for node in [&process, &others[0]] {
+            assert_eq!(status(node.send("/x").await).await, 503);
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(received.load(Ordering::SeqCst), 0);
+}
+
 // The same while no node runs any more that was told of the departure.
 #[tokio::test]
 async fn write_lost_departure_that_was_read() {
