--- a/crates/lentilshunt-node/src/fleet/departure/custodian.rs
+++ b/crates/lentilshunt-node/src/fleet/departure/custodian.rs
@@ -38,6 +38,8 @@
 const COPIES: usize = 4;
 /// Time limit for sending a copy to one node.
 const SEND_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time limit for the response to an inquiry, for which the use of the upstream waits.
+const INQUIRY_TIMEOUT: Duration = Duration::from_millis(150);
 /// Maximum size of the response to a copy, in bytes.
 const MAX_RESPONSE_BYTES: usize = 1024;
 
@@ -335,7 +337,7 @@
                 return None;
             }
         }
-        let deadline = Instant::now() + SEND_TIMEOUT;
+        let deadline = Instant::now() + INQUIRY_TIMEOUT;
         let sent = self
             .pool
             .fetch(node, request, deadline, Transfer::MAX_BYTES);
--- a/crates/lentilshunt-node/src/fleet/departure/ledger.rs
+++ b/crates/lentilshunt-node/src/fleet/departure/ledger.rs
@@ -36,8 +36,6 @@
 const MAX_COPY_WAIT: Duration = Duration::from_millis(300);
 /// Number of copies that suffice while the store does not respond.
 const MIN_COPIES: usize = 2;
-/// Number of times that other nodes are asked, once the table has been read, if none responds.
-const MIN_ROUNDS_WITH_TABLE: u32 = 2;
 /// Pause before other nodes are asked again.
 const INQUIRY_PAUSE: Duration = Duration::from_millis(100);
 /// Initial pause after a write that was not confirmed.
@@ -217,32 +215,19 @@
     /// Learns the departures of the local upstream from other nodes after the start of this one, and
     /// lets the executor believe reports then.
     ///
-    /// The store may be away, or may have lost the row. A node that no other one responds to
-    /// believes reports once it has read the table of nodes, which `listing` tells.
+    /// The store may be away, or may have lost the row. Once the table of nodes has been read, which
+    /// `listing` tells, the nodes that keep copies are asked once. Before, a caller is asked, and the
+    /// nodes that it names.
     pub async fn inquire(&self, mut listing: watch::Receiver<Listing>) {
         let mut asked = BTreeSet::new();
         let mut named = BTreeSet::new();
-        let mut rounds = 0;
         loop {
             let is_listed = *listing.borrow_and_update() != Listing::Unread;
-            rounds += u32::from(is_listed);
             named.extend(self.custodian.informed_nodes());
             let nodes: BTreeSet<SocketAddr> = named.difference(&asked).copied().collect();
-            let is_alone = nodes.is_empty() && is_listed;
             asked.extend(&nodes);
             let told = self.custodian.inquire_all(nodes).await;
-            if told.is_empty() {
-                if is_alone || rounds >= MIN_ROUNDS_WITH_TABLE {
-                    break;
-                }
-                asked.clear();
-                let again_at = Instant::now() + INQUIRY_PAUSE;
-                // The listing changes, or the pause ends.
-                let _is_elapsed = timeout_at(again_at.into(), listing.changed())
-                    .await
-                    .is_err();
-                continue;
-            }
+            let has_learned = !told.is_empty();
             for transfer in told {
                 named.extend(transfer.nodes.values().copied());
                 if !transfer.departures.is_empty() {
@@ -250,9 +235,17 @@
                 }
             }
             named.remove(&self.custodian.address());
-            if named.is_subset(&asked) {
+            if is_listed || (has_learned && named.is_subset(&asked)) {
                 break;
             }
+            if !has_learned {
+                asked.clear();
+                let again_at = Instant::now() + INQUIRY_PAUSE;
+                // The listing changes, or the pause ends.
+                let _is_elapsed = timeout_at(again_at.into(), listing.changed())
+                    .await
+                    .is_err();
+            }
         }
         self.executor.set_believes_reports(true);
     }
