test(review): keep cases 13 to 15 inside the limits that they quote

One machine signalled, one server leaving and one server restarted were a larger share of the small deployments than the claims quote. Now one of four nodes is signalled (15), one of five servers of the service leaves (14) and one of four servers is restarted (13).

--- a/review/standin-3/departure.rs
+++ b/review/standin-3/departure.rs
@@ -24,7 +24,9 @@
     let store = Store::start(store_address, record);
     let ports = [(); 4].map(|()| free(address(1)).port());
     let machine = |number, service| Machine::new(number, service, ports, store_address, folder);
-    let machines = [machine(1, "reads"), machine(2, "orders"), machine(3, "orders")];
+    // One of five servers of the service leaves.
+    let mut machines = vec![machine(1, "reads")];
+    machines.extend((2..=6).map(|number| machine(number, "orders")));
     let config = r#"{"Version":1,"Services":[{"Name":"reads","HealthPath":"/healthz","MaxConnections":110,"Protocol":"h1","Tls":false},{"Name":"orders","HealthPath":"/healthz","MaxConnections":110,"Protocol":"h1","Tls":false}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"},"VirtualHosts":[{"Host":"a.example","HostRoutes":[{"Name":"orders","Prefix":"/orders/","Kind":"non_idempotent","Timeout":"3000ms","TargetLatency":"800ms","Priority":1,"Service":"orders","MaxAttempts":2}]}]}"#;
     store.put("op", "config", Some(base64(config.as_bytes())));
     let runs = Arc::default();
@@ -34,7 +36,10 @@
     let mut nodes: Vec<_> = machines.iter().map(|machine| Node::start(machine, record)).collect();
     let _reads = start("i-reads", &machines[0]);
     let leaving = start("i-orders-1", &machines[1]);
-    let _staying = start("i-orders-2", &machines[2]);
+    let _staying: Vec<_> = machines[2..]
+        .iter()
+        .map(|machine| start(&format!("i-orders-{}", machine.name), machine))
+        .collect();
     if !nodes.iter().all(|node| node.is_ready_within(Duration::from_secs(15))) {
         return Verdict::NotRun("a node is not ready");
     }
@@ -75,7 +80,7 @@
     let judged = record.now();
     let mut served = 0;
     for wave in 0..6 {
-        let clients: Vec<_> = (0..12)
+        let clients: Vec<_> = (0..24)
             .map(|client| {
                 let outbound = machines[client % machines.len()].outbound;
                 let record = Arc::clone(record);
@@ -104,7 +109,7 @@
         .filter(|run| run.began > acknowledged + DRAIN_TIMEOUT)
         .count();
     record.line(&format!(
-        "{served} of 72 requests served; {late_runs} reached i-orders-1 later than DrainTimeout after its departure was acknowledged"
+        "{served} of 144 requests served; {late_runs} reached i-orders-1 later than DrainTimeout after its departure was acknowledged"
     ));
     if nodes.is_empty() || served == 0 {
         return Verdict::NotRun("nothing is served");
--- a/review/standin-3/grace.rs
+++ b/review/standin-3/grace.rs
@@ -20,6 +20,8 @@
 const GRACE: Duration = Duration::from_secs(6);
 /// Grace period before the settings file changes.
 const EARLIER_GRACE: Duration = Duration::from_secs(10);
+/// Machines, of which one is signalled.
+const MACHINES: u8 = 4;
 /// Requests sent up to this time after SIGTERM may be cut off if their server is at work late.
 const EXCUSED: Duration = Duration::from_secs(3);
 
@@ -29,12 +31,24 @@
     let ports = [(); 4].map(|()| free(address(1)).port());
     let mut machine = Machine::new(1, "orders", ports, store_address, folder);
     machine.grace = if has_trouble { EARLIER_GRACE } else { GRACE };
-    let config = r#"{"Version":1,"Services":[{"Name":"orders","HealthPath":"/healthz","MaxConnections":110,"Protocol":"h1","Tls":false}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"},"VirtualHosts":[{"Host":"a.example","HostRoutes":[{"Name":"orders","Prefix":"/orders/","Kind":"non_idempotent","Timeout":"3000ms","TargetLatency":"800ms","Priority":1,"Service":"orders","MaxAttempts":2}]}]}"#;
+    let config = r#"{"Version":1,"Services":[{"Name":"orders","HealthPath":"/healthz","MaxConnections":110,"Protocol":"h1","Tls":false},{"Name":"reads","HealthPath":"/healthz","MaxConnections":110,"Protocol":"h1","Tls":false}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"},"VirtualHosts":[{"Host":"a.example","HostRoutes":[{"Name":"orders","Prefix":"/orders/","Kind":"non_idempotent","Timeout":"3000ms","TargetLatency":"800ms","Priority":1,"Service":"orders","MaxAttempts":2}]}]}"#;
     store.put("op", "config", Some(base64(config.as_bytes())));
     let runs = Arc::default();
     let mut node = Node::start(&machine, record);
+    // One of four machines gets the signals.
+    let others: Vec<_> = (2..=MACHINES)
+        .map(|number| Machine::new(number, "reads", ports, store_address, folder))
+        .collect();
+    let _nodes: Vec<_> = others.iter().map(|machine| Node::start(machine, record)).collect();
     let _server =
         Server::start("i-1", "orders", machine.app, machine.admin, &runs, record);
+    let _servers: Vec<_> = others
+        .iter()
+        .map(|machine| {
+            let id = format!("i-{}", machine.name);
+            Server::start(&id, "reads", machine.app, machine.admin, &runs, record)
+        })
+        .collect();
     if !node.is_ready_within(Duration::from_secs(15)) {
         return Verdict::NotRun("the node is not ready");
     }
--- a/review/standin-3/removal.rs
+++ b/review/standin-3/removal.rs
@@ -52,8 +52,18 @@
     let start = |id: &str, machine: &Machine| {
         Server::start(id, &machine.service, machine.app, machine.admin, &runs, record)
     };
-    let nodes = [Node::start(&first, record), Node::start(&second, record)];
+    // One of four servers is restarted.
+    let others: Vec<_> = (3..=4)
+        .map(|number| Machine::new(number, "reads", ports, store_address, folder))
+        .collect();
+    let nodes: Vec<_> = [&first, &second]
+        .into_iter()
+        .chain(&others)
+        .map(|machine| Node::start(machine, record))
+        .collect();
     let _reads = start("i-reads-1", &first);
+    let _others: Vec<_> =
+        others.iter().map(|machine| start(&format!("i-{}", machine.name), machine)).collect();
     let orders = start("i-orders-1", &second);
     if !nodes.iter().all(|node| node.is_ready_within(Duration::from_secs(15))) {
         return Verdict::NotRun("a node is not ready");
